--- /dev/null
+++ b/cmd/rillflow/main.go
@@ -0,0 +1,121 @@
+// Command rillflow is a cluster scheduler. `rillflow serve` runs one
+// controller; the other verbs look at settings and at a running controller.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"rillflow/internal/serve"
+	"rillflow/internal/settings"
+)
+
+const version = "0.1.0"
+
+type cli struct {
+	Serve   serveCmd   `cmd:"" help:"Run a controller."`
+	Check   checkCmd   `cmd:"" help:"Check settings without starting anything."`
+	Status  statusCmd  `cmd:"" help:"Show what a running controller knows, as JSON."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+type files struct {
+	Config   string `required:"" help:"The platform's settings file (TOML)." placeholder:"FILE"`
+	Operator string `help:"The operators' settings file (XML). Default: rillflow.xml beside the platform's file, if there." placeholder:"FILE"`
+}
+
+type serveCmd struct{ files }
+
+func (c *serveCmd) Run() error {
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level(os.Getenv("LOG_LEVEL"))}))
+	set, err := settings.Load(c.Config, c.Operator)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := serve.Run(ctx, set, log.With("node", set.Node)); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+type checkCmd struct{ files }
+
+func (c *checkCmd) Run() error {
+	set, err := settings.Load(c.Config, c.Operator)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("ok: %s of %d controllers, %d teams, frugal: %v\n", set.Node, 1+len(set.Members), len(set.Facts.Teams), set.Frugal())
+	return nil
+}
+
+type statusCmd struct {
+	Addr string `arg:"" help:"A controller's front address, HOST:PORT."`
+}
+
+func (c *statusCmd) Run() error {
+	client := http.Client{Timeout: 5 * time.Second}
+	res, err := client.Get("http://" + c.Addr + "/operator/status")
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, 16<<20))
+	if err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %s", res.Status)
+	}
+	var v any
+	if err := json.Unmarshal(body, &v); err != nil {
+		return err
+	}
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	fmt.Println("rillflow", version)
+	return nil
+}
+
+func level(s string) slog.Level {
+	switch s {
+	case "debug":
+		return slog.LevelDebug
+	case "error":
+		return slog.LevelError
+	}
+	return slog.LevelInfo
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("rillflow"), kong.Description("A cluster scheduler: MaxWeight placement with learned rates."), kong.UsageOnError())
+	if err := k.Run(); err != nil {
+		var perr *kong.ParseError
+		code := 1
+		if errors.As(err, &perr) {
+			code = 2
+		}
+		fmt.Fprintln(os.Stderr, "rillflow:", err)
+		os.Exit(code)
+	}
+}
--- /dev/null
+++ b/internal/agent/host.go
@@ -0,0 +1,126 @@
+// Package agent deals with workers: what each last reported, what it is to be
+// ordered, and the direct commands sent to it.
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"rillflow/internal/ledger"
+	"rillflow/internal/wire"
+)
+
+// Host is a machine as its worker last reported it.
+type Host struct {
+	Name    string
+	Address string
+	Flavor  string
+	Zone    string
+	Loaners bool
+
+	Tenure  uint64
+	Tick    uint64
+	Epoch   uint64    // highest the worker says it has seen
+	Asked   time.Time // when it was rented
+	Running time.Time // when the list first showed it running
+	Listed  time.Time // when the list last showed it
+	Heard   time.Time // last beat that was answered
+	Seen    time.Time // first beat of this term
+	WarnAt  time.Time // when the cloud takes it away; zero: no notice
+
+	Members map[ledger.Task]Member
+	Images  []Image // most recently used first
+
+	// Taint is the epoch of the latest direct command whose fate is unknown.
+	// Until the worker has seen a higher one, that command may yet be
+	// executed, so nothing is forgotten that it could start again.
+	Taint    uint64
+	InFlight bool
+
+	Sulking time.Time // refused a launch for want of room: not before this
+	Errors  []string  // jobs whose tasks failed here since the last success
+	Idle    time.Time // since when nothing is on it
+	Wake    chan struct{}
+}
+
+// Member is a task as a worker reported it.
+type Member struct {
+	Try   uint64
+	Phase string
+	Since time.Time // first seen in this phase
+}
+
+// Image is a bundle that a host fetched.
+type Image struct {
+	Bundle string
+	GB     float64
+}
+
+// NewHost makes a host of which nothing was heard yet.
+func NewHost(name string) *Host {
+	return &Host{Name: name, Members: make(map[ledger.Task]Member), Wake: make(chan struct{}, 1)}
+}
+
+// Nudge wakes the host's sender.
+func (h *Host) Nudge() {
+	select {
+	case h.Wake <- struct{}{}:
+	default:
+	}
+}
+
+// Newer tells whether a report is newer than what is known.
+func (h *Host) Newer(r *wire.Report) bool {
+	return r.Tenure > h.Tenure || r.Tenure == h.Tenure && r.Tick > h.Tick
+}
+
+// HasImage tells whether the host has an image, as far as its tasks showed.
+func (h *Host) HasImage(bundle string) bool {
+	return slices.ContainsFunc(h.Images, func(i Image) bool { return i.Bundle == bundle })
+}
+
+// Used notes that a task with an image runs: the machine has the image, and
+// drops those longest unused past its cache.
+func (h *Host) Used(bundle string, gb, cache float64) {
+	h.Images = slices.DeleteFunc(h.Images, func(i Image) bool { return i.Bundle == bundle })
+	h.Images = slices.Insert(h.Images, 0, Image{bundle, gb})
+	sum := 0.0
+	for i, im := range h.Images {
+		if sum += im.GB; sum > cache && i > 0 {
+			h.Images = h.Images[:i]
+			return
+		}
+	}
+}
+
+// Orders are the commands that bring a host from what it reported to what the
+// claims say. A reap is given only in answer to a beat: a worker has one beat
+// in flight, so no launch given in an earlier answer can come after it.
+func (h *Host) Orders(claims map[ledger.Task]*ledger.Held, epoch uint64, answer bool) []wire.Order {
+	var launches, stops, reaps []wire.Order
+	for t, c := range claims {
+		m, there := h.Members[t]
+		there = there && m.Try == c.Try
+		switch {
+		case c.Over || c.Tenure != h.Tenure:
+		case c.Job.Withdrawn || c.Stopping:
+			if m.Phase != wire.Ended {
+				stops = append(stops, wire.Order{Verb: wire.Stop, Member: t.String(), Try: c.Try})
+			}
+		case !there && c.Committed:
+			c.Sent, c.SentEpoch = true, epoch
+			launches = append(launches, wire.Order{Verb: wire.Launch, Member: t.String(), Try: c.Try})
+		}
+	}
+	for t, m := range h.Members {
+		if c := claims[t]; c != nil && c.Try == m.Try {
+			continue
+		}
+		if m.Phase != wire.Ended {
+			stops = append(stops, wire.Order{Verb: wire.Stop, Member: t.String(), Try: m.Try})
+		} else if answer && !h.InFlight && h.Taint < max(h.Epoch, 1) {
+			reaps = append(reaps, wire.Order{Verb: wire.Reap, Member: t.String(), Try: m.Try})
+		}
+	}
+	return slices.Concat(stops, reaps, launches)
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,282 @@
+// Package control is the leader's duty: it keeps the ledger and the hosts
+// together for the length of a term, and runs the loops that write claims,
+// place tasks, command workers and rent machines.
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"rillflow/internal/agent"
+	"rillflow/internal/fleet"
+	"rillflow/internal/lead"
+	"rillflow/internal/ledger"
+	"rillflow/internal/placement"
+	"rillflow/internal/settings"
+	"rillflow/internal/state"
+	"rillflow/internal/wire"
+)
+
+// Control serves terms, one at a time.
+type Control struct {
+	set    *settings.Settings
+	st     *state.Client
+	cloud  *fleet.Cloud
+	direct *agent.Direct
+	el     *lead.Elector
+	types  *fleet.Catalogue
+	log    *slog.Logger
+	now    func() time.Time
+	cur    atomic.Pointer[reign]
+}
+
+// Deps are what a Control works with.
+type Deps struct {
+	Settings *settings.Settings
+	State    *state.Client
+	Cloud    *fleet.Cloud
+	Direct   *agent.Direct
+	Elector  *lead.Elector
+	Types    *fleet.Catalogue
+	Log      *slog.Logger
+}
+
+// New makes a Control.
+func New(d Deps) *Control {
+	return &Control{set: d.Settings, st: d.State, cloud: d.Cloud, direct: d.Direct, el: d.Elector, types: d.Types, log: d.Log, now: time.Now}
+}
+
+// reign is the state of one term. Everything below mu is guarded by it.
+type reign struct {
+	*Control
+	term  *lead.Term
+	ready chan struct{} // closed once the claims are read
+	group *errgroup.Group
+	ctx   context.Context
+
+	flushes chan struct{}
+	plans   chan struct{}
+	raises  chan struct{}
+
+	mu     sync.Mutex
+	led    *ledger.Ledger
+	hosts  map[string]*agent.Host
+	table  *placement.Table
+	gone   map[string]time.Time // released, with when
+	rents  *fleet.Planner
+	listed map[string]wire.ListedHost
+	began  time.Time
+	heard  time.Time // last beat of any host
+	took   *latencies
+}
+
+// Serve is one term.
+func (c *Control) Serve(ctx context.Context, term *lead.Term) error {
+	g, gctx := errgroup.WithContext(ctx)
+	op := c.set.Operator.Placement
+	r := &reign{
+		Control: c, term: term, ready: make(chan struct{}), group: g, ctx: gctx,
+		flushes: make(chan struct{}, 1), plans: make(chan struct{}, 1), raises: make(chan struct{}, 1),
+		led:    ledger.New(fmt.Sprintf("%s.%d", c.set.Node, term.First), c.set.Facts.Teams),
+		hosts:  make(map[string]*agent.Host),
+		gone:   make(map[string]time.Time),
+		listed: make(map[string]wire.ListedHost),
+		began:  c.now(),
+		took:   newLatencies(),
+		table: placement.NewTable(placement.Params{
+			Horizon: op.Horizon, Bonus: op.Bonus, RunBound: op.RunBound,
+			Tick: time.Duration(op.Tick * float64(c.set.Report())),
+		}, c.now()),
+		rents: fleet.NewPlanner(c.set, term.First),
+	}
+	c.cur.Store(r)
+	defer c.cur.CompareAndSwap(r, nil)
+	gen, err := r.load(gctx)
+	if err != nil {
+		return fmt.Errorf("load: %w", err)
+	}
+	close(r.ready)
+	for _, duty := range []func(context.Context) error{
+		func(ctx context.Context) error { return r.follow(ctx, gen) },
+		r.flush, r.plan, r.tend, r.raise, r.rent,
+	} {
+		g.Go(func() error { return duty(gctx) })
+	}
+	kick(r.plans)
+	return g.Wait()
+}
+
+func kick(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// load reads the jobs and claims.
+func (r *reign) load(ctx context.Context) (uint64, error) {
+	var jobs, chunks []wire.Item
+	var gen uint64
+	for try := 0; ; try++ {
+		var err error
+		if jobs, gen, err = r.st.List(ctx, ledger.LivePrefix); err == nil {
+			chunks, _, err = r.st.List(ctx, ledger.ClaimPrefix)
+		}
+		if err == nil {
+			break
+		}
+		if !state.Backoff(ctx, try, r.set.Report()/32, r.set.Report()/4) {
+			return 0, ctx.Err()
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, it := range jobs {
+		if err := r.addJob(it.Path, it.Data, it.Stamp); err != nil {
+			return 0, err
+		}
+	}
+	// Claims whose job is no longer live: it was done or withdrawn, and the
+	// tasks of a withdrawn one may still run and count.
+	orphans := make(map[string]bool)
+	for _, it := range chunks {
+		if ref, ok := ledger.ChunkRef(it.Path); ok && r.led.Job(ref) == nil {
+			orphans[ref] = true
+		}
+	}
+	for ref := range orphans {
+		for try := 0; ; try++ {
+			it, err := r.st.Get(ctx, ledger.EndedKey(ref))
+			if err == nil {
+				if err := r.led.AddEnded(ref, it.Data); err != nil {
+					return 0, err
+				}
+				break
+			}
+			if errors.Is(err, state.ErrNotFound) {
+				// The job came between the two lists; its claims will be
+				// read by the next term.
+				return 0, fmt.Errorf("job %s: %w", ref, err)
+			}
+			if !state.Backoff(ctx, try, r.set.Report()/32, r.set.Report()/4) {
+				return 0, ctx.Err()
+			}
+		}
+	}
+	for _, it := range chunks {
+		if err := r.led.Load(it.Path, it.Data, it.Stamp, r.term.First-1); err != nil {
+			return 0, err
+		}
+	}
+	r.led.Loaded()
+	for _, h := range r.led.ClaimedHosts() {
+		r.host(h)
+	}
+	r.log.Info("loaded", "epoch", r.term.First, "jobs", len(r.led.Jobs()), "claimed_hosts", len(r.hosts))
+	return gen, nil
+}
+
+func (r *reign) addJob(path string, data []byte, stamp uint64) error {
+	rec, err := ledger.DecodeRecord(data)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	r.led.Add(path[len(ledger.LivePrefix):], rec, stamp)
+	return nil
+}
+
+// follow takes in new and withdrawn jobs as they are committed.
+func (r *reign) follow(ctx context.Context, gen uint64) error {
+	for try := 0; ctx.Err() == nil; {
+		log, err := r.st.Watch(ctx, ledger.LivePrefix, gen, r.set.Lease()/2)
+		if errors.Is(err, state.ErrTooOld) {
+			return err // a new term reads everything afresh
+		}
+		if err != nil {
+			state.Backoff(ctx, try, r.set.Report()/32, r.set.Report()/4)
+			try++
+			continue
+		}
+		try = 0
+		gen = max(gen, log.Generation)
+		r.mu.Lock()
+		for _, ch := range log.Log {
+			if ch.Put != "" {
+				if err := r.addJob(ch.Put, ch.Data, ch.Stamp); err != nil {
+					r.mu.Unlock()
+					return err
+				}
+				continue
+			}
+			// A job about to be done goes from the live keys by this
+			// leader's own write; were it withdrawn, that write fails.
+			ref := ch.Remove[len(ledger.LivePrefix):]
+			if j := r.led.Job(ref); j != nil && !j.Finished {
+				r.withdraw(ref)
+			}
+		}
+		r.mu.Unlock()
+		kick(r.plans)
+	}
+	return ctx.Err()
+}
+
+// withdraw notes that a job left the live keys other than by being done.
+func (r *reign) withdraw(ref string) {
+	j := r.led.Job(ref)
+	if j == nil || j.Withdrawn {
+		return
+	}
+	r.log.Info("withdrawn", "job", ref, "claims", j.Active())
+	hosts := make(map[string]bool)
+	for _, h := range r.led.HeldBy(j) {
+		hosts[h.Host] = true
+	}
+	r.led.Withdraw(ref)
+	for h := range hosts {
+		if host := r.hosts[h]; host != nil {
+			host.Nudge()
+		}
+	}
+	kick(r.flushes)
+}
+
+// raise moves the epoch on when a command of unknown fate must be fenced off.
+func (r *reign) raise(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.raises:
+		}
+		err := r.term.Raise(ctx)
+		if errors.Is(err, lead.ErrDeposed) {
+			return err
+		}
+		if err == nil {
+			r.log.Info("epoch raised", "epoch", r.term.Epoch())
+		}
+		// At most one in a report interval: each makes every worker report.
+		if !sleep(ctx, r.set.Report()) {
+			return ctx.Err()
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/control/flush.go
@@ -0,0 +1,163 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"rillflow/internal/lead"
+	"rillflow/internal/ledger"
+	"rillflow/internal/state"
+	"rillflow/internal/wire"
+)
+
+// txnBytes is the state service's limit on a transaction, less room for its
+// guards.
+const txnBytes = 40 << 10
+
+// flush writes what the ledger decided. One batch is under way at a time.
+func (r *reign) flush(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.flushes:
+		}
+		for try := 0; ; {
+			r.mu.Lock()
+			b := r.led.Next(r.set.Facts.State.TxnOps, txnBytes)
+			r.mu.Unlock()
+			if b == nil {
+				break
+			}
+			err := r.commit(ctx, b)
+			if errors.Is(err, state.ErrRefused) {
+				if !state.Backoff(ctx, try, r.set.Report()/64, r.set.Report()/4) {
+					return ctx.Err()
+				}
+				try++
+				continue
+			}
+			if err != nil {
+				return err
+			}
+			try = 0
+		}
+	}
+}
+
+// commit sees one batch through until its fate is known. A nil error means
+// that the ledger was told; ErrRefused, that the batch is to be made again.
+func (r *reign) commit(ctx context.Context, b *ledger.Batch) error {
+	if len(b.Apply) == 0 {
+		r.committed(b, 0)
+		return nil
+	}
+	txn := wire.Commit{Guards: append([]wire.Guard{r.term.Guard()}, b.Guards...), Apply: b.Apply}
+	unsure := false
+	for try := 0; ; try++ {
+		gen, failed, err := r.st.Commit(ctx, txn)
+		switch {
+		case err == nil && len(failed) == 0:
+			r.committed(b, gen)
+			return nil
+		case err == nil && unsure:
+			// Was it this very transaction, sent before, that moved the
+			// guards? The chunks name their writer.
+			stamp, mine, err := r.applied(ctx, b)
+			if err != nil {
+				break
+			}
+			if mine {
+				r.committed(b, stamp)
+				return nil
+			}
+			return r.rejected(b, failed)
+		case err == nil:
+			return r.rejected(b, failed)
+		case errors.Is(err, state.ErrRefused) && !unsure:
+			r.mu.Lock()
+			r.led.Failed(b)
+			r.mu.Unlock()
+			return err
+		case errors.Is(err, state.ErrUnknown):
+			unsure = true
+		}
+		if !state.Backoff(ctx, try, r.set.Report()/64, r.set.Report()/4) {
+			return ctx.Err()
+		}
+	}
+}
+
+// rejected deals with guards that did not hold.
+func (r *reign) rejected(b *ledger.Batch, failed []string) error {
+	if lead.Deposed(failed) {
+		return lead.ErrDeposed
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.led.Failed(b)
+	for _, f := range failed {
+		ref, ok := strings.CutPrefix(f, ledger.LivePrefix)
+		if !ok {
+			return fmt.Errorf("control: %s was written by another", f)
+		}
+		r.withdraw(ref)
+	}
+	return nil
+}
+
+// applied reads back whether a batch of unknown fate was applied, and at which
+// generation.
+func (r *reign) applied(ctx context.Context, b *ledger.Batch) (uint64, bool, error) {
+	for _, ch := range b.Apply {
+		key := ch.Put + ch.Remove
+		if strings.HasPrefix(key, ledger.LivePrefix) {
+			continue
+		}
+		it, err := r.st.Get(ctx, key)
+		if err != nil && !errors.Is(err, state.ErrNotFound) {
+			return 0, false, err
+		}
+		switch {
+		case ch.Remove != "":
+			if err == nil {
+				return 0, false, nil
+			}
+			continue // gone: this leader alone removes chunks
+		case err != nil:
+			return 0, false, nil
+		case strings.HasPrefix(key, ledger.EndedPrefix):
+			var e ledger.Ending
+			if json.Unmarshal(it.Data, &e) != nil || e.Phase != wire.Done {
+				return 0, false, nil
+			}
+		case ledger.WriterOf(it.Data) != b.Writer:
+			return 0, false, nil
+		}
+		return it.Stamp, true, nil
+	}
+	return 0, true, nil
+}
+
+func (r *reign) committed(b *ledger.Batch, gen uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	res := r.led.Committed(b, gen)
+	for _, h := range res.Claims {
+		if host := r.hosts[h.Host]; host != nil && !h.Over {
+			host.Nudge()
+		}
+	}
+	for _, j := range res.Ended {
+		r.log.Info("done", "job", j.Ref, "tasks", j.Spec.Members, "took_s", r.now().Sub(j.At).Seconds())
+	}
+	if len(res.Over) > 0 {
+		kick(r.plans)
+	}
+	if !r.led.Empty() {
+		kick(r.flushes)
+	}
+}
--- /dev/null
+++ b/internal/control/hosts.go
@@ -0,0 +1,370 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"rillflow/internal/agent"
+	"rillflow/internal/ledger"
+	"rillflow/internal/placement"
+	"rillflow/internal/state"
+	"rillflow/internal/wire"
+)
+
+// ErrNotLeading: this controller may not act for the others.
+var ErrNotLeading = errors.New("control: not leading")
+
+// Beat takes in a worker's report and answers with its orders.
+func (c *Control) Beat(ctx context.Context, rep *wire.Report) (wire.Orders, error) {
+	r := c.cur.Load()
+	if r == nil {
+		return wire.Orders{}, ErrNotLeading
+	}
+	t := time.NewTimer(c.set.Report() / 2)
+	defer t.Stop()
+	select {
+	case <-r.ready:
+	case <-t.C:
+		return wire.Orders{}, ErrNotLeading
+	case <-ctx.Done():
+		return wire.Orders{}, ctx.Err()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	epoch := r.term.Epoch()
+	if rep.Epoch > epoch || r.ctx.Err() != nil {
+		// The worker knows a later leader. A 200 would be dropped and hold
+		// the worker here while its lease runs out.
+		return wire.Orders{}, ErrNotLeading
+	}
+	h := r.report(rep)
+	if h == nil {
+		return wire.Orders{}, ErrNotLeading
+	}
+	now := r.now()
+	h.Heard, r.heard = now, now
+	if h.Seen.IsZero() {
+		h.Seen = now
+	}
+	out := wire.Orders{Epoch: epoch, Orders: []wire.Order{}}
+	if h.Tenure == rep.Tenure && h.Tick == rep.Tick {
+		out.Orders = append(out.Orders, h.Orders(r.led.OnHost(h.Name), epoch, true)...)
+		r.fence(h)
+	}
+	return out, nil
+}
+
+// host finds or makes a host.
+func (r *reign) host(name string) *agent.Host {
+	h := r.hosts[name]
+	if h == nil {
+		h = agent.NewHost(name)
+		r.hosts[name] = h
+		r.group.Go(func() error { return r.send(r.ctx, h) })
+	}
+	return h
+}
+
+// report takes in what a worker says, if it is news. It returns nil for a
+// machine that was returned to the cloud: a late message from the past.
+func (r *reign) report(rep *wire.Report) *agent.Host {
+	if at := r.gone[rep.Host]; !at.IsZero() || rep.Host == "" {
+		return nil
+	}
+	h := r.host(rep.Host)
+	if !h.Newer(rep) {
+		return h
+	}
+	now := r.now()
+	h.Address, h.Flavor, h.Zone, h.Loaners = rep.Address, rep.Flavor, rep.Locale, rep.Loaners
+	h.Tick, h.Epoch = rep.Tick, max(h.Epoch, rep.Epoch)
+	if h.Epoch > h.Taint {
+		h.Taint = 0
+	}
+	h.WarnAt = time.Time{}
+	if rep.Warning != nil {
+		h.WarnAt = now.Add(time.Duration(*rep.Warning * float64(time.Second)))
+	}
+	if rep.Tenure > h.Tenure {
+		h.Tenure = rep.Tenure
+		h.Members = make(map[ledger.Task]agent.Member)
+		h.Taint = 0 // commands carry the tenure: none of the old ones is executed now
+		for _, c := range r.led.OnHost(h.Name) {
+			if c.Tenure < rep.Tenure {
+				r.lost(c, "new tenure")
+			}
+		}
+	}
+	r.members(h, rep, now)
+	h.Idle = idleSince(h, len(r.led.OnHost(h.Name)), now)
+	if !r.led.Empty() {
+		kick(r.flushes)
+	}
+	kick(r.plans)
+	return h
+}
+
+func idleSince(h *agent.Host, claims int, now time.Time) time.Time {
+	if claims > 0 || len(h.Members) > 0 {
+		return time.Time{}
+	}
+	if h.Idle.IsZero() {
+		return now
+	}
+	return h.Idle
+}
+
+// members compares a report's tasks with the claims.
+func (r *reign) members(h *agent.Host, rep *wire.Report, now time.Time) {
+	claims := r.led.OnHost(h.Name)
+	seen := make(map[ledger.Task]agent.Member, len(rep.Members))
+	for _, m := range rep.Members {
+		t, ok := ledger.ParseTask(m.Member)
+		if !ok {
+			continue
+		}
+		mem := agent.Member{Try: m.Try, Phase: m.Phase, Since: now}
+		if old, ok := h.Members[t]; ok && old.Try == m.Try && old.Phase == m.Phase {
+			mem.Since = old.Since
+		}
+		c := claims[t]
+		if have, twice := seen[t]; twice && c != nil && have.Try == c.Try {
+			continue // of two tries on the machine the claimed one counts
+		}
+		seen[t] = mem
+		if c == nil || c.Try != m.Try || c.Over {
+			continue
+		}
+		switch m.Phase {
+		case wire.Running:
+			if c.Running.IsZero() {
+				c.Running = now
+				r.started(c, h, now)
+			}
+		case wire.Ended:
+			r.ended(c, h, m.Cause, now)
+		}
+	}
+	h.Members = seen
+	// A withdrawn job's task that the worker does not have is gone once no
+	// launch can reach the worker any more: it has seen a higher epoch than
+	// any launch carried.
+	for t, c := range claims {
+		if _, there := seen[t]; !there && (c.Job.Withdrawn || c.Stopping) && !h.InFlight && h.Epoch > c.SentEpoch {
+			r.led.Free(c, now)
+		}
+	}
+}
+
+// started notes that a task runs: its machine has the image.
+func (r *reign) started(c *ledger.Held, h *agent.Host, now time.Time) {
+	cache := 0.0
+	if t := r.types.Types()[h.Flavor]; t != nil {
+		cache = t.LocalGB
+	}
+	h.Used(c.Job.Spec.Bundle, c.Job.Spec.SizeGB, cache)
+	r.took.observe(c, now)
+	r.log.Debug("started", "task", c.Task(), "host", h.Name, "wait_s", now.Sub(c.Job.WaitingSince).Seconds())
+}
+
+// ended deals with a claimed task that its worker reports as ended.
+func (r *reign) ended(c *ledger.Held, h *agent.Host, cause string, now time.Time) {
+	j := c.Job
+	if j.Withdrawn {
+		r.led.Free(c, now)
+		return
+	}
+	r.log.Debug("ended", "task", c.Task(), "host", h.Name, "cause", cause)
+	switch cause {
+	case wire.CauseDone:
+		if j.Spec.Shape == wire.Standing {
+			r.led.Free(c, now)
+			return
+		}
+		h.Errors = nil
+		j.Fails = 0
+		// Only tasks that were seen running teach: a result that was kept
+		// from an earlier try comes back at once and says nothing.
+		if !c.Running.IsZero() {
+			r.table.Finish(placement.Arm{Type: r.typeOf(j), Machine: h.Flavor}, now.Sub(c.Running), now)
+		}
+		r.led.Finish(c)
+	case wire.CauseError:
+		r.led.Free(c, now)
+		r.failed(j, h, now)
+	case wire.CauseNoRoom:
+		r.led.Free(c, now)
+		h.Sulking = now.Add(r.set.Report())
+	case wire.CauseInUse, wire.CauseUnknown:
+		r.led.Free(c, now)
+		j.Fails++
+		j.RetryAt = now.Add(r.hold(j.Fails))
+	default: // halted
+		r.led.Free(c, now)
+	}
+}
+
+// failed counts a failure against the machine and the job. A job that fails on
+// several machines and finishes nowhere is at fault itself, and is held back;
+// a machine is at fault when jobs fail there that do not fail elsewhere.
+func (r *reign) failed(j *ledger.Job, h *agent.Host, now time.Time) {
+	if j.FailedOn == nil {
+		j.FailedOn = make(map[string]bool)
+	}
+	j.FailedOn[h.Name] = true
+	j.Fails++
+	if len(h.Errors) < 16 {
+		h.Errors = append(h.Errors, j.Ref)
+	}
+	r.log.Info("task failed", "job", j.Ref, "host", h.Name, "job_fails", j.Fails, "host_fails", len(h.Errors))
+	if r.badJob(j) {
+		j.RetryAt = now.Add(r.hold(j.Fails))
+	}
+	if len(j.FailedOn) > 16 {
+		clear(j.FailedOn)
+	}
+}
+
+// hold is how long a job waits after so many failures in a row.
+func (r *reign) hold(fails int) time.Duration {
+	return min(r.set.Report()/2<<min(fails, 6), 2*r.set.Lease())
+}
+
+func (r *reign) badJob(j *ledger.Job) bool {
+	if j.Done() > 0 {
+		return false
+	}
+	n := 0
+	for name := range j.FailedOn {
+		if h := r.hosts[name]; h == nil || !r.badHost(h) {
+			n++
+		}
+	}
+	return n >= 2
+}
+
+// badHost tells whether a machine fails what it starts: two failures or more
+// since its last success, of jobs that are not known to fail everywhere.
+func (r *reign) badHost(h *agent.Host) bool {
+	n := 0
+	for _, ref := range h.Errors {
+		if j := r.led.Job(ref); j == nil || j.Done() > 0 || len(j.FailedOn) < 3 {
+			n++
+		}
+	}
+	return n >= 2
+}
+
+// lost frees a claim on proof that its task is gone.
+func (r *reign) lost(c *ledger.Held, why string) {
+	r.log.Debug("task lost", "task", c.Task(), "host", c.Host, "why", why)
+	r.led.Free(c, r.now())
+}
+
+// fence asks for a higher epoch when a host waits for one.
+func (r *reign) fence(h *agent.Host) {
+	wait := h.Taint != 0 && len(h.Members) > 0
+	for t, c := range r.led.OnHost(h.Name) {
+		if _, there := h.Members[t]; !there && (c.Job.Withdrawn || c.Stopping) {
+			wait = wait || h.Epoch <= c.SentEpoch
+		}
+	}
+	if wait && h.Epoch >= r.term.Epoch() {
+		kick(r.raises)
+	}
+}
+
+// send commands one host directly whenever it is nudged, so that nothing waits
+// for its next beat.
+func (r *reign) send(ctx context.Context, h *agent.Host) error {
+	for try := 0; ; {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-h.Wake:
+		}
+		r.mu.Lock()
+		if r.hosts[h.Name] != h {
+			r.mu.Unlock()
+			return nil
+		}
+		epoch := r.term.Epoch()
+		known := h.Tenure > 0 && h.Address != ""
+		var orders []wire.Order
+		if known {
+			orders = h.Orders(r.led.OnHost(h.Name), epoch, false)
+		}
+		tenure, addr, asked := h.Tenure, h.Address, h.Heard
+		h.InFlight = known && len(orders) > 0
+		r.mu.Unlock()
+		if !known || len(orders) == 0 {
+			continue
+		}
+		rep, refused, err := r.direct.Do(ctx, addr, wire.Orders{Epoch: epoch, Tenure: tenure, Orders: orders})
+		r.mu.Lock()
+		h.InFlight = false
+		if err != nil && !errors.Is(err, agent.ErrNotSent) {
+			h.Taint = max(h.Taint, epoch)
+		}
+		if rep != nil {
+			r.report(rep)
+		}
+		quiet := h.Heard.Equal(asked)
+		r.mu.Unlock()
+		if err == nil && !refused {
+			try = 0
+			continue
+		}
+		// A host that does not take commands gets them with its next beat.
+		r.log.Debug("direct command", "host", h.Name, "refused", refused, "err", err)
+		if quiet {
+			state.Backoff(ctx, try, r.set.Report()/8, r.set.Report())
+			try = min(try+1, 8)
+		}
+	}
+}
+
+// alive tells whether a host was heard from lately.
+func (r *reign) alive(h *agent.Host, now time.Time) bool {
+	return !h.Heard.IsZero() && now.Sub(h.Heard) < 5*r.set.Report()/2
+}
+
+// typeOf is the type of a job for the placement rule.
+func (r *reign) typeOf(j *ledger.Job) string {
+	var s []byte
+	for _, f := range r.fields() {
+		switch f {
+		case "class":
+			s = append(s, j.Spec.Class...)
+		case "owner":
+			s = append(s, j.Spec.Owner...)
+		case "bundle":
+			s = append(s, j.Spec.Bundle...)
+		case "rank":
+			s = append(s, j.Spec.Rank...)
+		case "shape":
+			s = append(s, j.Spec.Shape...)
+		}
+		s = append(s, '|')
+	}
+	return string(s)
+}
+
+func (r *reign) fields() []string { return r.set.Operator.Placement.Fields() }
+
+// sortedHosts are the hosts by name, for decisions that repeat.
+func (r *reign) sortedHosts() []*agent.Host {
+	hs := make([]*agent.Host, 0, len(r.hosts))
+	for _, h := range r.hosts {
+		hs = append(hs, h)
+	}
+	slices.SortFunc(hs, func(a, b *agent.Host) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return hs
+}
--- /dev/null
+++ b/internal/control/tend.go
@@ -0,0 +1,365 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"rillflow/internal/agent"
+	"rillflow/internal/fleet"
+	"rillflow/internal/wire"
+)
+
+// tend looks after what only time brings: leases that run out, hosts that do
+// not come over to this leader, orders to be given again.
+func (r *reign) tend(ctx context.Context) error {
+	tick := time.NewTicker(r.set.Report() / 6)
+	defer tick.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		r.mu.Lock()
+		now := r.now()
+		r.expire(now)
+		if n%32 == 0 {
+			r.table.Trim(now)
+		}
+		deaf := r.deaf(now)
+		var poll []*agent.Host
+		if n%6 == 3 {
+			poll = r.strangers(now)
+		}
+		r.mu.Unlock()
+		kick(r.plans)
+		kick(r.flushes)
+		if deaf {
+			r.el.Resign(r.set.Lease(), "no worker is heard")
+			return errors.New("control: no worker is heard")
+		}
+		for _, h := range poll {
+			r.group.Go(func() error { r.poll(ctx, h); return nil })
+		}
+	}
+}
+
+// expire frees the claims of hosts whose lease is surely over: the worker had
+// seen this leader's epoch, so nobody else can have renewed it, and it was
+// last answered more than a lease ago by the slowest of clocks.
+func (r *reign) expire(now time.Time) {
+	over := r.set.Lease() + r.set.Lease()/500 + r.set.Report()/3
+	for _, h := range r.hosts {
+		if h.Heard.IsZero() || h.Epoch < r.term.First || now.Sub(h.Heard) < over {
+			continue
+		}
+		for _, c := range r.led.OnHost(h.Name) {
+			// A claim of a tenure not yet heard of cannot be.
+			if c.Tenure <= h.Tenure {
+				r.lost(c, "lease over")
+			}
+		}
+	}
+}
+
+// deaf tells whether this controller, and not the workers, is cut off: all
+// fell silent at about the same time though several there are.
+func (r *reign) deaf(now time.Time) bool {
+	if len(r.set.Members) == 0 || r.heard.IsZero() {
+		return false
+	}
+	up := 0
+	for _, h := range r.hosts {
+		if !h.Heard.IsZero() {
+			up++
+		}
+	}
+	quiet := 3 * r.set.Report()
+	return up >= 4 && now.Sub(r.heard) > quiet
+}
+
+// strangers are hosts that are up but have not come to this leader yet.
+func (r *reign) strangers(now time.Time) []*agent.Host {
+	var hs []*agent.Host
+	for _, l := range r.listed {
+		if _, gone := r.gone[l.Ref]; gone || l.Phase != wire.Running || l.Address == "" {
+			continue
+		}
+		h := r.host(l.Ref)
+		if h.Heard.IsZero() && now.Sub(r.began) > r.set.Report()/2 && len(hs) < 16 {
+			h.Address, h.Flavor, h.Zone, h.Loaners = l.Address, l.Flavor, l.Locale, l.Loaners
+			hs = append(hs, h)
+		}
+	}
+	return hs
+}
+
+// poll asks a host for its report and shows it this leader's epoch, so that it
+// turns from whoever answers it still.
+func (r *reign) poll(ctx context.Context, h *agent.Host) {
+	r.mu.Lock()
+	addr := h.Address
+	r.mu.Unlock()
+	rep, err := r.direct.Status(ctx, addr)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	r.report(rep)
+	r.mu.Unlock()
+	if rep.Epoch < r.term.First {
+		rep, _, err = r.direct.Do(ctx, addr, wire.Orders{Epoch: r.term.Epoch(), Tenure: rep.Tenure, Orders: []wire.Order{}})
+		if err == nil {
+			r.mu.Lock()
+			r.report(rep)
+			r.mu.Unlock()
+		}
+	}
+}
+
+// rent keeps the fleet: it reads the machine list, returns what is faulty or
+// idle, and rents what is needed.
+func (r *reign) rent(ctx context.Context) error {
+	every := max(r.set.Report()/2, time.Duration(float64(time.Second)*4/r.set.Facts.Cloud.RPS))
+	for n := 0; ; n++ {
+		if n%2 == 0 {
+			if list, err := r.cloud.List(ctx); err == nil {
+				r.mu.Lock()
+				r.merge(list)
+				r.mu.Unlock()
+			} else {
+				r.log.Debug("machine list", "err", err)
+			}
+		}
+		r.mu.Lock()
+		now := r.now()
+		bad := r.faulty(now)
+		var rents []wire.Rent
+		var leave []string
+		if types := r.types.Types(); types != nil && now.Sub(r.began) > r.set.Report() {
+			rents, leave = r.rents.Plan(types, r.machines(now), r.need(), now)
+		}
+		for _, name := range leave {
+			// Not a host that was given a task since it was looked at.
+			if len(r.led.OnHost(name)) == 0 {
+				bad = append(bad, name)
+				r.log.Info("returning", "host", name, "why", "idle")
+			}
+		}
+		bad = bad[:min(len(bad), 100)]
+		for _, name := range bad {
+			if r.gone[name].IsZero() {
+				r.gone[name] = time.Time{} // no new tasks from here on
+			}
+		}
+		r.mu.Unlock()
+		if len(bad) > 0 {
+			r.release(ctx, bad)
+		}
+		for _, q := range rents {
+			names, err := r.cloud.Rent(ctx, q)
+			r.mu.Lock()
+			r.rented(q, names, err)
+			r.mu.Unlock()
+		}
+		if !sleep(ctx, every) {
+			return ctx.Err()
+		}
+	}
+}
+
+func (r *reign) rented(q wire.Rent, names []string, err error) {
+	now := r.now()
+	if err != nil && !errors.Is(err, fleet.ErrNoCapacity) {
+		r.log.Debug("rent", "ask", q.Ask, "err", err)
+	}
+	r.rents.Answered(q, len(names), now)
+	if len(names) > 0 {
+		r.log.Info("rented", "flavor", q.Flavor, "zone", q.Locale, "loaners", q.Loaners, "asked", q.HowMany, "got", len(names))
+	}
+	for _, n := range names {
+		if _, ok := r.listed[n]; !ok {
+			r.listed[n] = wire.ListedHost{Ref: n, Flavor: q.Flavor, Locale: q.Locale, Loaners: q.Loaners, Phase: wire.HostStarting}
+		}
+		h := r.host(n)
+		h.Flavor, h.Zone, h.Loaners = q.Flavor, q.Locale, q.Loaners
+		h.Asked = now
+	}
+}
+
+// release returns machines. The answer is proof that what was on them is gone.
+func (r *reign) release(ctx context.Context, names []string) {
+	err := r.cloud.Release(ctx, names)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.log.Info("release", "hosts", len(names), "err", err)
+		return
+	}
+	now := r.now()
+	for _, n := range names {
+		r.gone[n] = now
+		for _, c := range r.led.OnHost(n) {
+			r.lost(c, "machine returned")
+		}
+		if h := r.hosts[n]; h != nil {
+			delete(r.hosts, n)
+			h.Nudge() // ends its sender
+		}
+		delete(r.listed, n)
+	}
+	kick(r.plans)
+	kick(r.flushes)
+}
+
+// merge takes in the machine list. It lags, so what is missing from it is not
+// thereby gone.
+func (r *reign) merge(list []wire.ListedHost) {
+	now := r.now()
+	lag := time.Duration(r.set.Facts.Cloud.ListLagS * float64(time.Second))
+	present := make(map[string]bool, len(list))
+	for _, l := range list {
+		present[l.Ref] = true
+		if at, gone := r.gone[l.Ref]; gone && !at.IsZero() {
+			if now.Sub(at) < 3*lag+r.set.Report() {
+				continue // the list is behind
+			}
+		}
+		r.listed[l.Ref] = l
+		h := r.host(l.Ref)
+		if h.Asked.IsZero() {
+			h.Asked = now.Add(-time.Duration(l.HeldS * float64(time.Second)))
+		}
+		if h.Heard.IsZero() {
+			h.Flavor, h.Zone, h.Loaners = l.Flavor, l.Locale, l.Loaners
+		}
+		if l.Phase == wire.Running && h.Running.IsZero() {
+			h.Running = now
+		}
+		h.Listed = now
+	}
+	for name, at := range r.gone {
+		if !at.IsZero() && !present[name] && now.Sub(at) > 4*lag+r.set.Lease() {
+			delete(r.gone, name)
+		}
+	}
+}
+
+// faulty are machines to be returned: failed or silent ones, those that never
+// come up, and those that fail what they start.
+func (r *reign) faulty(now time.Time) []string {
+	silence := time.Duration(r.set.Operator.Fleet.Silence * float64(r.set.Lease()))
+	types := r.types.Types()
+	var out []string
+	silent := 0
+	for _, h := range r.sortedHosts() {
+		why := ""
+		l, listed := r.listed[h.Name]
+		t := types[h.Flavor]
+		claims := r.led.OnHost(h.Name)
+		at, leaving := r.gone[h.Name]
+		switch {
+		case leaving && at.IsZero():
+			why = "again" // its release was not answered
+		case listed && l.Phase == wire.HostFailed:
+			why = "failed"
+		case !h.Heard.IsZero() && now.Sub(h.Heard) > silence,
+			h.Heard.IsZero() && now.Sub(r.began) > silence && !h.Running.IsZero() && now.Sub(h.Running) > silence,
+			h.Heard.IsZero() && !listed && len(claims) > 0 && now.Sub(r.began) > r.set.Lease():
+			why = "silent"
+			silent++
+		case h.Heard.IsZero() && t != nil && !h.Asked.IsZero() && now.Sub(h.Asked) > 4*time.Duration(t.ReadyS*float64(time.Second)):
+			why = "never up"
+		case r.badHost(h) && !r.mostBad():
+			why = "fails tasks"
+			for _, c := range claims {
+				if c.Job.Spec.Shape == wire.Standing && !c.Running.IsZero() && now.Sub(c.Running) > r.set.Lease() {
+					why = "" // what runs there runs on; only new tasks fail
+				}
+			}
+		}
+		if why == "" {
+			continue
+		}
+		if why != "again" {
+			r.log.Info("returning", "host", h.Name, "why", why, "claims", len(claims))
+		}
+		out = append(out, h.Name)
+	}
+	// Many falling silent at once is more likely the network than the
+	// machines: their tasks run on, so they are given their lease.
+	if silent > 2 && silent*2 > len(r.hosts) && now.Sub(r.heard) < r.set.Lease() {
+		return slices.DeleteFunc(out, func(n string) bool {
+			h := r.hosts[n]
+			return now.Sub(h.Heard) < 2*r.set.Lease()
+		})
+	}
+	return out
+}
+
+// mostBad tells whether so many machines fail tasks that the tasks are the
+// likelier cause.
+func (r *reign) mostBad() bool {
+	bad, up := 0, 0
+	for _, h := range r.hosts {
+		if !h.Heard.IsZero() {
+			up++
+			if r.badHost(h) {
+				bad++
+			}
+		}
+	}
+	return bad*2 > up
+}
+
+// machines shows the fleet to the planner.
+func (r *reign) machines(now time.Time) []fleet.Machine {
+	var ms []fleet.Machine
+	for _, h := range r.sortedHosts() {
+		_, leaving := r.gone[h.Name]
+		if h.Flavor == "" {
+			continue
+		}
+		m := fleet.Machine{
+			Name: h.Name, Flavor: h.Flavor, Zone: h.Zone, Loaners: h.Loaners,
+			Up: !h.Heard.IsZero(), Leaving: leaving || !h.WarnAt.IsZero() || r.badHost(h),
+		}
+		if m.Up && len(h.Members) == 0 && len(r.led.OnHost(h.Name)) == 0 {
+			m.Idle = h.Idle
+		}
+		ms = append(ms, m)
+	}
+	return ms
+}
+
+// need sums up the work on hand.
+func (r *reign) need() fleet.Need {
+	var n fleet.Need
+	seen := make(map[string]bool)
+	passing := make(map[string]float64)
+	for _, j := range r.led.Jobs() {
+		if j.Withdrawn || j.Finished {
+			continue
+		}
+		s := &j.Spec
+		cores := s.Cores * float64(j.Unfinished())
+		if s.Loaners {
+			passing[s.Owner] += cores
+		} else {
+			n.Steady += cores
+		}
+		n.Waiting += s.Cores * float64(j.WaitingTasks())
+		key := fmt.Sprint(s.Cores, s.Accel, s.RAM, s.Flavors, s.Locale, s.Loaners)
+		if !seen[key] {
+			seen[key] = true
+			n.Tasks = append(n.Tasks, fleet.Shape{Cores: s.Cores, Accel: s.Accel, RAM: s.RAM, Flavors: s.Flavors, Zone: s.Locale, Loaners: s.Loaners})
+		}
+	}
+	for team, cores := range passing {
+		n.Passing += min(cores, r.led.Team(team).CPUsMax)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/control/view.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"rillflow/internal/ledger"
+	"rillflow/internal/placement"
+)
+
+// latencies keeps how long things took, in milliseconds.
+type latencies struct {
+	start *hdrhistogram.Histogram // submission to first running
+}
+
+func newLatencies() *latencies {
+	return &latencies{start: hdrhistogram.New(1, int64(time.Hour/time.Millisecond), 2)}
+}
+
+// Counts are a job's tasks for display.
+type Counts struct{ Done, Running int }
+
+// Counts tells a live job's counts if this controller leads.
+func (c *Control) Counts(ref string) (Counts, bool) {
+	r := c.cur.Load()
+	if r == nil {
+		return Counts{}, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.led.Job(ref)
+	if j == nil {
+		return Counts{}, false
+	}
+	n := 0
+	for _, h := range r.led.HeldBy(j) {
+		if !h.Running.IsZero() && !h.Over {
+			n++
+		}
+	}
+	return Counts{Done: j.Done(), Running: n}, true
+}
+
+// View is the operator's look at the leader.
+type View struct {
+	Epoch  uint64           `json:"epoch"`
+	Jobs   int              `json:"jobs"`
+	Claims int              `json:"claims"`
+	Hosts  []HostView       `json:"hosts"`
+	Queues []QueueView      `json:"queues"`
+	Rates  []placement.Row  `json:"rates"`
+	Start  map[string]int64 `json:"start_ms"`
+}
+
+// HostView is one machine.
+type HostView struct {
+	Name    string  `json:"name"`
+	Flavor  string  `json:"flavor"`
+	Zone    string  `json:"zone"`
+	Loaners bool    `json:"loaners"`
+	Claims  int     `json:"claims"`
+	SilentS float64 `json:"silent_s"`
+	Bad     bool    `json:"bad,omitempty"`
+}
+
+// QueueView is one type's queue.
+type QueueView struct {
+	Type       string `json:"type"`
+	Unfinished int    `json:"unfinished"`
+	Waiting    int    `json:"waiting"`
+}
+
+// View is a snapshot, or nil if this controller does not lead.
+func (c *Control) View() *View {
+	r := c.cur.Load()
+	if r == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	v := &View{Epoch: r.term.Epoch(), Jobs: len(r.led.Jobs()), Rates: r.table.Rows(now), Start: map[string]int64{}}
+	for _, h := range r.sortedHosts() {
+		hv := HostView{Name: h.Name, Flavor: h.Flavor, Zone: h.Zone, Loaners: h.Loaners, Claims: len(r.led.OnHost(h.Name)), Bad: r.badHost(h), SilentS: -1}
+		if !h.Heard.IsZero() {
+			hv.SilentS = now.Sub(h.Heard).Seconds()
+		}
+		v.Claims += hv.Claims
+		v.Hosts = append(v.Hosts, hv)
+	}
+	byType := map[string]*QueueView{}
+	for _, j := range r.led.Jobs() {
+		name := r.typeOf(j)
+		if byType[name] == nil {
+			byType[name] = &QueueView{Type: name}
+		}
+		byType[name].Unfinished += j.Unfinished()
+		byType[name].Waiting += j.WaitingTasks()
+	}
+	for _, q := range byType {
+		v.Queues = append(v.Queues, *q)
+	}
+	for _, p := range []float64{50, 90, 99} {
+		v.Start[map[float64]string{50: "p50", 90: "p90", 99: "p99"}[p]] = r.took.start.ValueAtQuantile(p)
+	}
+	return v
+}
+
+// observe notes how long a task waited to run.
+func (l *latencies) observe(h *ledger.Held, now time.Time) {
+	// Only a value out of range is refused; such a wait is of no use here.
+	_ = l.start.RecordValue(now.Sub(h.Job.At).Milliseconds())
+}
--- /dev/null
+++ b/internal/fleet/catalogue.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"rillflow/internal/state"
+	"rillflow/internal/wire"
+)
+
+// Catalogue keeps the machine types at hand.
+type Catalogue struct {
+	cloud *Cloud
+	every time.Duration
+	log   *slog.Logger
+	types atomic.Pointer[map[string]*wire.MachineType]
+}
+
+// NewCatalogue makes a catalogue that is read again at the interval given.
+func NewCatalogue(cloud *Cloud, every time.Duration, log *slog.Logger) *Catalogue {
+	return &Catalogue{cloud: cloud, every: every, log: log}
+}
+
+// Types are the machine types by label, or nil while they are not known.
+func (c *Catalogue) Types() map[string]*wire.MachineType {
+	if m := c.types.Load(); m != nil {
+		return *m
+	}
+	return nil
+}
+
+// Run reads the catalogue until ctx ends.
+func (c *Catalogue) Run(ctx context.Context) error {
+	for try := 0; ctx.Err() == nil; {
+		ts, err := c.cloud.Types(ctx)
+		if err != nil || len(ts) == 0 {
+			c.log.Debug("machine types", "err", err)
+			state.Backoff(ctx, try, c.every/64, c.every/8)
+			try++
+			continue
+		}
+		try = 0
+		m := make(map[string]*wire.MachineType, len(ts))
+		for i := range ts {
+			m[ts[i].Label] = &ts[i]
+		}
+		c.types.Store(&m)
+		t := time.NewTimer(c.every)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/intake/check.go
@@ -0,0 +1,184 @@
+// Package intake serves the users: it accepts jobs, tells their state and
+// withdraws them, on every controller alike. The state service decides.
+package intake
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+	"strings"
+
+	"rillflow/internal/settings"
+	"rillflow/internal/wire"
+)
+
+var refForm = regexp.MustCompile(`^req-[0-9]{1,40}$`)
+
+// ValidRef tells whether a job id has the form users give it.
+func ValidRef(ref string) bool { return refForm.MatchString(ref) }
+
+var ranks = []string{"production", "urgent", "standard", "idle"}
+
+const maxMembers = 100_000
+
+// submission is a job as it arrives: pointers tell what is missing.
+type submission struct {
+	Ref       *string   `json:"ref"`
+	Class     *string   `json:"jobclass"`
+	Owner     *string   `json:"owner"`
+	Shape     *string   `json:"shape"`
+	Rank      *string   `json:"rank"`
+	Members   *int      `json:"members"`
+	Cores     *float64  `json:"cores"`
+	Accel     *float64  `json:"accelerators"`
+	RAM       *float64  `json:"ram_gb"`
+	Bundle    *string   `json:"bundle"`
+	SizeGB    *float64  `json:"size_gb"`
+	Flavors   *[]string `json:"flavors"`
+	Locale    *string   `json:"locale"`
+	SamePlace *bool     `json:"same_place"`
+	Scatter   *bool     `json:"scatter"`
+	Loaners   *bool     `json:"loaners"`
+	ExpectS   *float64  `json:"expect_s"`
+	SnapshotS *float64  `json:"snapshot_s"`
+	FlushS    *float64  `json:"flush_s"`
+	DueS      *float64  `json:"due_s"`
+}
+
+// Parse reads a submission. The reference is returned also with an error when
+// it could be read: a job that is known is answered whatever the body says.
+func Parse(body []byte) (job wire.Job, ref string, err error) {
+	var s submission
+	err = json.Unmarshal(body, &s)
+	if s.Ref != nil && ValidRef(*s.Ref) {
+		ref = *s.Ref
+	} else if err != nil {
+		// The decoder stops at nothing but bad syntax; with a wrong type
+		// elsewhere the reference may still stand by itself.
+		var only struct {
+			Ref string `json:"ref"`
+		}
+		if json.Unmarshal(body, &only) == nil && ValidRef(only.Ref) {
+			ref = only.Ref
+		}
+	}
+	if err != nil {
+		return job, ref, fmt.Errorf("malformed: %w", err)
+	}
+	job, err = s.job()
+	return job, ref, err
+}
+
+func (s *submission) job() (j wire.Job, err error) {
+	var errs []error
+	bad := func(field, what string) { errs = append(errs, fmt.Errorf("%s: %s", field, what)) }
+	str := func(field string, p *string) string {
+		if p == nil || *p == "" {
+			bad(field, "missing")
+			return ""
+		}
+		if len(*p) > 200 || strings.ContainsAny(*p, "\x00\n") {
+			bad(field, "invalid")
+		}
+		return *p
+	}
+	num := func(field string, p *float64, positive bool) float64 {
+		if p == nil {
+			bad(field, "missing")
+			return 0
+		}
+		if math.IsNaN(*p) || math.IsInf(*p, 0) || *p < 0 || positive && *p == 0 || *p > 1e9 {
+			bad(field, "invalid")
+		}
+		return *p
+	}
+	flag := func(field string, p *bool) bool {
+		if p == nil {
+			bad(field, "missing")
+			return false
+		}
+		return *p
+	}
+	j = wire.Job{
+		Ref: str("ref", s.Ref), Class: str("jobclass", s.Class), Owner: str("owner", s.Owner),
+		Shape: str("shape", s.Shape), Rank: str("rank", s.Rank), Bundle: str("bundle", s.Bundle),
+		Cores: num("cores", s.Cores, false), Accel: num("accelerators", s.Accel, false),
+		RAM: num("ram_gb", s.RAM, false), SizeGB: num("size_gb", s.SizeGB, false),
+		SamePlace: flag("same_place", s.SamePlace), Scatter: flag("scatter", s.Scatter), Loaners: flag("loaners", s.Loaners),
+		ExpectS: num("expect_s", s.ExpectS, false), SnapshotS: num("snapshot_s", s.SnapshotS, false), FlushS: num("flush_s", s.FlushS, false),
+	}
+	if !ValidRef(j.Ref) {
+		bad("ref", "wrong form")
+	}
+	if j.Shape != wire.Batch && j.Shape != wire.Standing {
+		bad("shape", "unknown")
+	}
+	if !slices.Contains(ranks, j.Rank) {
+		bad("rank", "unknown")
+	}
+	switch {
+	case s.Members == nil:
+		bad("members", "missing")
+	case *s.Members < 1 || *s.Members > maxMembers:
+		bad("members", "invalid")
+	default:
+		j.Members = *s.Members
+	}
+	if s.Flavors != nil {
+		j.Flavors = *s.Flavors
+		if len(j.Flavors) == 0 || slices.Contains(j.Flavors, "") {
+			bad("flavors", "invalid")
+		}
+	}
+	if s.Locale != nil {
+		j.Locale = str("locale", s.Locale)
+	}
+	if s.DueS != nil {
+		j.DueS = num("due_s", s.DueS, false)
+	}
+	return j, errors.Join(errs...)
+}
+
+// ErrUndecided: it cannot be told yet whether a job could run.
+var ErrUndecided = errors.New("machine types are not known yet")
+
+// Runnable tells why a job can never run, if so.
+func Runnable(j *wire.Job, set *settings.Settings, types map[string]*wire.MachineType) error {
+	team, ok := set.Team(j.Owner)
+	if !ok {
+		return fmt.Errorf("unknown team %q", j.Owner)
+	}
+	n := 1.0
+	if j.Shape == wire.Standing {
+		n = float64(j.Members)
+	}
+	const slack = 1e-6
+	if j.Cores*n > team.CPUsMax+slack || j.Accel*n > team.GPUsMax+slack {
+		return fmt.Errorf("more than the limit of team %q", j.Owner)
+	}
+	if types == nil {
+		return ErrUndecided
+	}
+	zones := make(map[string]bool)
+	for _, t := range types {
+		if len(j.Flavors) > 0 && !slices.Contains(j.Flavors, t.Label) ||
+			j.Cores > t.Cores+slack || j.Accel > t.Accel+slack || j.RAM > t.RAM+slack {
+			continue
+		}
+		for _, z := range t.Locales {
+			if j.Locale == "" || j.Locale == z {
+				zones[z] = true
+			}
+		}
+	}
+	if len(zones) == 0 {
+		return errors.New("a task fits no allowed machine type")
+	}
+	if j.Shape == wire.Standing && j.Members > 1 && j.Scatter && (j.SamePlace || len(zones) < 2) {
+		return errors.New("the replicas cannot be spread as asked")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,313 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"rillflow/internal/fleet"
+	"rillflow/internal/ledger"
+	"rillflow/internal/settings"
+	"rillflow/internal/state"
+	"rillflow/internal/wire"
+)
+
+// MaxBody is the protocol's limit on a request.
+const MaxBody = 64 << 10
+
+// Users answers users.
+type Users struct {
+	set    *settings.Settings
+	st     *state.Client
+	types  *fleet.Catalogue
+	counts func(ref string) (done, running int, ok bool)
+	log    *slog.Logger
+	now    func() time.Time
+	ended  *memory
+}
+
+// New makes the users' side. counts tells a live job's counts where known.
+func New(set *settings.Settings, st *state.Client, types *fleet.Catalogue, counts func(string) (int, int, bool), log *slog.Logger) *Users {
+	return &Users{set: set, st: st, types: types, counts: counts, log: log, now: time.Now, ended: newMemory(4096)}
+}
+
+// Routes adds the users' requests to a mux.
+func (u *Users) Routes(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/jobs", u.submit)
+	mux.HandleFunc("GET /v1/jobs/{ref}", u.poll)
+	mux.HandleFunc("POST /v1/jobs/{ref}/withdraw", u.withdraw)
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		status, b = http.StatusInternalServerError, []byte("{}")
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(status)
+	w.Write(b)
+}
+
+// busy tells the user when to come back.
+func busy(w http.ResponseWriter, why string) {
+	w.Header().Set("Retry-After", "1")
+	reply(w, http.StatusServiceUnavailable, wire.Error{Error: why})
+}
+
+// patience bounds what one request may wait for the state service: a user
+// waits 5 s for a submission and 2 s for a poll.
+func (u *Users) patience(r *http.Request, d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(r.Context(), d)
+}
+
+func (u *Users) submit(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	if err != nil {
+		reply(w, http.StatusBadRequest, wire.Error{Error: "body too large or broken"})
+		return
+	}
+	ctx, cancel := u.patience(r, 2*time.Second)
+	defer cancel()
+	job, ref, bad := Parse(body)
+	status := http.StatusBadRequest
+	if bad == nil {
+		bad = Runnable(&job, u.set, u.types.Types())
+		status = http.StatusUnprocessableEntity
+	}
+	if bad != nil {
+		// A job that is known is never refused, whatever this body says.
+		if ref != "" {
+			p, err := u.lookup(ctx, ref)
+			if err == nil {
+				reply(w, http.StatusOK, p)
+				return
+			}
+			if !errors.Is(err, state.ErrNotFound) {
+				busy(w, "state service")
+				return
+			}
+		}
+		if errors.Is(bad, ErrUndecided) {
+			busy(w, bad.Error())
+			return
+		}
+		reply(w, status, wire.Error{Error: bad.Error()})
+		return
+	}
+	if p, ok := u.ended.get(ref); ok {
+		reply(w, http.StatusOK, p)
+		return
+	}
+	fresh, err := u.accept(ctx, job)
+	if err != nil {
+		u.log.Debug("submit", "job", ref, "err", err)
+		busy(w, "state service")
+		return
+	}
+	if fresh {
+		u.log.Info("accepted", "job", ref, "class", job.Class, "owner", job.Owner, "tasks", job.Members)
+		reply(w, http.StatusCreated, wire.Phase{Ref: ref, Phase: wire.Queued})
+		return
+	}
+	p, err := u.lookup(ctx, ref)
+	if err != nil {
+		busy(w, "state service")
+		return
+	}
+	reply(w, http.StatusOK, p)
+}
+
+// accept stores a job unless it is there already, and reports whether it was
+// this call that did. Guards on both keys decide between concurrent calls, and
+// between an answer that was lost and its repetition.
+func (u *Users) accept(ctx context.Context, job wire.Job) (bool, error) {
+	data, err := ledger.Encode(ledger.Record{Job: job, AtMS: u.now().UnixMilli(), Chunk: ledger.ChunkTasks(u.set.Facts.State.ValueKB)})
+	if err != nil {
+		return false, err
+	}
+	for try := 0; ; try++ {
+		_, failed, err := u.st.Commit(ctx, wire.Commit{
+			Guards: []wire.Guard{{Path: ledger.LiveKey(job.Ref)}, {Path: ledger.EndedKey(job.Ref)}},
+			Apply:  []wire.Change{{Put: ledger.LiveKey(job.Ref), Data: data}},
+		})
+		if err == nil {
+			return len(failed) == 0, nil
+		}
+		if !state.Backoff(ctx, try, 20*time.Millisecond, 200*time.Millisecond) {
+			return false, err
+		}
+	}
+}
+
+// lookup reads a job's state. ErrNotFound means that it was not accepted when
+// the live key was read: a job goes only from live to ended.
+func (u *Users) lookup(ctx context.Context, ref string) (wire.Phase, error) {
+	if p, ok := u.ended.get(ref); ok {
+		return p, nil
+	}
+	for try := 0; ; try++ {
+		p, err := u.read(ctx, ref)
+		if err == nil || errors.Is(err, state.ErrNotFound) {
+			return p, err
+		}
+		if !state.Backoff(ctx, try, 20*time.Millisecond, 200*time.Millisecond) {
+			return p, err
+		}
+	}
+}
+
+func (u *Users) read(ctx context.Context, ref string) (wire.Phase, error) {
+	_, err := u.st.Get(ctx, ledger.LiveKey(ref))
+	if err == nil {
+		p := wire.Phase{Ref: ref, Phase: wire.Queued}
+		if done, running, ok := u.counts(ref); ok {
+			p.Done, p.Running = &done, &running
+			if running > 0 {
+				p.Phase = wire.Running
+			}
+		}
+		return p, nil
+	}
+	if !errors.Is(err, state.ErrNotFound) {
+		return wire.Phase{}, err
+	}
+	it, err := u.st.Get(ctx, ledger.EndedKey(ref))
+	if err != nil {
+		return wire.Phase{}, err
+	}
+	var e ledger.Ending
+	if err := json.Unmarshal(it.Data, &e); err != nil {
+		return wire.Phase{}, fmt.Errorf("intake: %s: %w", ref, err)
+	}
+	return u.remember(ref, e), nil
+}
+
+func (u *Users) remember(ref string, e ledger.Ending) wire.Phase {
+	zero := 0
+	p := wire.Phase{Ref: ref, Phase: e.Phase, Running: &zero}
+	if e.Phase == wire.Done {
+		p.Done = &e.Tasks
+	}
+	u.ended.put(ref, p)
+	return p
+}
+
+func (u *Users) poll(w http.ResponseWriter, r *http.Request) {
+	ref := r.PathValue("ref")
+	if !ValidRef(ref) {
+		reply(w, http.StatusNotFound, wire.Error{Error: "no such job"})
+		return
+	}
+	ctx, cancel := u.patience(r, 1500*time.Millisecond)
+	defer cancel()
+	p, err := u.lookup(ctx, ref)
+	switch {
+	case err == nil:
+		reply(w, http.StatusOK, p)
+	case errors.Is(err, state.ErrNotFound):
+		reply(w, http.StatusNotFound, wire.Error{Error: "no such job"})
+	default:
+		busy(w, "state service")
+	}
+}
+
+func (u *Users) withdraw(w http.ResponseWriter, r *http.Request) {
+	ref := r.PathValue("ref")
+	if !ValidRef(ref) {
+		reply(w, http.StatusNotFound, wire.Error{Error: "no such job"})
+		return
+	}
+	ctx, cancel := u.patience(r, 2*time.Second)
+	defer cancel()
+	for try := 0; ; try++ {
+		p, err := u.end(ctx, ref)
+		switch {
+		case err == nil:
+			reply(w, http.StatusOK, p)
+			return
+		case errors.Is(err, state.ErrNotFound):
+			reply(w, http.StatusNotFound, wire.Error{Error: "no such job"})
+			return
+		case !state.Backoff(ctx, try, 20*time.Millisecond, 200*time.Millisecond):
+			busy(w, "state service")
+			return
+		}
+	}
+}
+
+var errMoved = errors.New("intake: the job moved on")
+
+// end withdraws a live job, once. The live key's stamp guards against the
+// leader's claims and its last finish: whichever commits first holds.
+func (u *Users) end(ctx context.Context, ref string) (wire.Phase, error) {
+	if p, ok := u.ended.get(ref); ok {
+		return p, nil
+	}
+	it, err := u.st.Get(ctx, ledger.LiveKey(ref))
+	if errors.Is(err, state.ErrNotFound) {
+		return u.read(ctx, ref)
+	}
+	if err != nil {
+		return wire.Phase{}, err
+	}
+	rec, err := ledger.DecodeRecord(it.Data)
+	if err != nil {
+		return wire.Phase{}, fmt.Errorf("intake: %s: %w", ref, err)
+	}
+	e := ledger.Ending{Phase: wire.Withdrawn, Tasks: rec.Job.Members, Job: rec.Job, Chunk: rec.Chunk}
+	data, err := ledger.Encode(e)
+	if err != nil {
+		return wire.Phase{}, err
+	}
+	_, failed, err := u.st.Commit(ctx, wire.Commit{
+		Guards: []wire.Guard{{Path: ledger.LiveKey(ref), Stamp: it.Stamp}},
+		Apply:  []wire.Change{{Remove: ledger.LiveKey(ref)}, {Put: ledger.EndedKey(ref), Data: data}},
+	})
+	if err != nil {
+		return wire.Phase{}, err
+	}
+	if len(failed) > 0 {
+		return wire.Phase{}, errMoved
+	}
+	return u.remember(ref, e), nil
+}
+
+// memory keeps final states, which never change, up to a number of them.
+type memory struct {
+	mu   sync.Mutex
+	max  int
+	m    map[string]wire.Phase
+	ring []string
+	next int
+}
+
+func newMemory(n int) *memory {
+	return &memory{max: n, m: make(map[string]wire.Phase), ring: make([]string, n)}
+}
+
+func (m *memory) get(ref string) (wire.Phase, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, ok := m.m[ref]
+	return p, ok
+}
+
+func (m *memory) put(ref string, p wire.Phase) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.m[ref]; !ok {
+		delete(m.m, m.ring[m.next])
+		m.ring[m.next] = ref
+		m.next = (m.next + 1) % m.max
+	}
+	m.m[ref] = p
+}
--- /dev/null
+++ b/internal/ledger/batch.go
@@ -0,0 +1,231 @@
+package ledger
+
+import (
+	"fmt"
+	"slices"
+
+	"rillflow/internal/wire"
+)
+
+// Batch is one transaction's worth of changes.
+type Batch struct {
+	Guards []wire.Guard
+	Apply  []wire.Change
+	Writer string // the mark every chunk in it carries
+	parts  []part
+}
+
+type part struct {
+	job    *Job
+	n      int
+	claims []*Held // claims that become durable
+	over   []*Held // finishes that become durable
+	remove bool
+	ends   bool // the job's end is in this batch
+}
+
+func (c *chunk) flying() bool { return c.write != 0 }
+
+// Empty tells whether nothing needs writing.
+func (l *Ledger) Empty() bool { return len(l.dirty) == 0 }
+
+// Next makes a batch of at most ops changes and bytes bytes, or nil when
+// nothing needs writing. Until Committed or Failed is called with it, no other
+// batch may be made. Claims and finishes go first, then the tidying of jobs
+// that are over.
+func (l *Ledger) Next(ops, size int) *Batch {
+	l.writes++
+	b := &Batch{Writer: fmt.Sprintf("%s.%d", l.writer, l.writes)}
+	slices.SortStableFunc(l.dirty, func(a, c dirtyChunk) int {
+		return rankOf(a.job) - rankOf(c.job)
+	})
+	var left []dirtyChunk
+	guarded := make(map[string]bool)
+	for _, d := range l.dirty {
+		j, c := d.job, d.job.chunks[d.n]
+		if c == nil || !c.dirty {
+			continue
+		}
+		need := 1
+		if j.Finished {
+			need = 3
+		}
+		if len(b.Apply)+need > ops || size <= 0 {
+			left = append(left, d)
+			continue
+		}
+		p := part{job: j, n: d.n}
+		key := chunkKey(j.Ref, d.n)
+		switch {
+		case j.Withdrawn && len(c.claims) > 0:
+			c.dirty = false // nothing to say until the claims are gone
+			continue
+		case j.Withdrawn, j.Finished:
+			p.remove = true
+			if c.stamp != 0 {
+				b.Guards = append(b.Guards, wire.Guard{Path: key, Stamp: c.stamp})
+				b.Apply = append(b.Apply, wire.Change{Remove: key})
+			}
+		default:
+			data, err := c.encode(b.Writer)
+			if err != nil {
+				continue // strings and numbers always encode
+			}
+			size -= len(data)
+			b.Guards = append(b.Guards, wire.Guard{Path: key, Stamp: c.stamp})
+			b.Apply = append(b.Apply, wire.Change{Put: key, Data: data})
+		}
+		for i := d.n * j.size; i < min((d.n+1)*j.size, j.cursor); i++ {
+			if h := j.claims[i]; h != nil && h.Over {
+				p.over = append(p.over, h)
+			} else if h != nil && !h.Committed {
+				p.claims = append(p.claims, h)
+			}
+		}
+		if (len(p.claims) > 0 || j.Finished) && !guarded[j.Ref] {
+			// A withdrawal changes this key: no claim slips in after it.
+			guarded[j.Ref] = true
+			b.Guards = append(b.Guards, wire.Guard{Path: LiveKey(j.Ref), Stamp: j.stamp})
+			if j.Finished {
+				p.ends = true
+				end, err := Encode(Ending{Phase: wire.Done, Tasks: j.Spec.Members})
+				if err != nil {
+					continue
+				}
+				b.Apply = append(b.Apply, wire.Change{Remove: LiveKey(j.Ref)}, wire.Change{Put: EndedKey(j.Ref), Data: end})
+			}
+		}
+		c.dirty = false
+		c.write = l.writes
+		b.parts = append(b.parts, p)
+	}
+	l.dirty = left
+	if len(b.parts) == 0 {
+		return nil
+	}
+	return b
+}
+
+func rankOf(j *Job) int {
+	if j.Withdrawn {
+		return 1
+	}
+	return 0
+}
+
+// Keys are the chunk keys the batch writes.
+func (b *Batch) Keys() []string {
+	var ks []string
+	for _, p := range b.parts {
+		ks = append(ks, chunkKey(p.job.Ref, p.n))
+	}
+	return ks
+}
+
+// Refs are the jobs in the batch.
+func (b *Batch) Refs() []string {
+	var rs []string
+	for _, p := range b.parts {
+		if !slices.Contains(rs, p.job.Ref) {
+			rs = append(rs, p.job.Ref)
+		}
+	}
+	return rs
+}
+
+// Result is what a committed batch brought.
+type Result struct {
+	Claims []*Held // to be launched
+	Over   []*Held // finishes now durable
+	Ended  []*Job  // jobs now done
+}
+
+// Committed notes that a batch was applied at a generation.
+func (l *Ledger) Committed(b *Batch, gen uint64) Result {
+	var r Result
+	for _, p := range b.parts {
+		j, c := p.job, p.job.chunks[p.n]
+		c.write = 0
+		if p.remove {
+			c.stamp = 0
+		} else {
+			c.stamp = gen
+		}
+		for _, h := range p.over {
+			if j.claims[h.Index] == h {
+				delete(c.claims, h.Index%j.size)
+				was := c.dirty
+				l.unhold(h)
+				if !was {
+					c.dirty = false // the write just made says so already
+					l.undirty(j, p.n)
+				}
+				r.Over = append(r.Over, h)
+			}
+		}
+		for _, h := range p.claims {
+			if j.claims[h.Index] != h {
+				continue
+			}
+			h.Committed = true
+			if j.Withdrawn && !h.Sent {
+				l.unhold(h) // withdrawn meanwhile, never launched
+				continue
+			}
+			r.Claims = append(r.Claims, h)
+		}
+		if p.ends {
+			r.Ended = append(r.Ended, j)
+		}
+		if j.Withdrawn {
+			if c.stamp != 0 && len(c.claims) == 0 {
+				l.touch(j, p.n)
+			}
+			l.drop(j)
+		}
+	}
+	for _, j := range r.Ended {
+		l.retire(j)
+	}
+	return r
+}
+
+// retire forgets a job that is done; chunks still stored are tidied as those
+// of a withdrawn job are.
+func (l *Ledger) retire(j *Job) {
+	j.Finished = false
+	j.Withdrawn = true
+	for _, h := range j.claims {
+		l.unhold(h)
+	}
+	for n, c := range j.chunks {
+		if c.stamp != 0 {
+			l.touch(j, n)
+		}
+	}
+	l.drop(j)
+}
+
+func (l *Ledger) undirty(j *Job, n int) {
+	l.dirty = slices.DeleteFunc(l.dirty, func(d dirtyChunk) bool { return d.job == j && d.n == n })
+}
+
+// Failed notes that a batch was surely not applied: all of it is to be written
+// again.
+func (l *Ledger) Failed(b *Batch) {
+	for _, p := range b.parts {
+		c := p.job.chunks[p.n]
+		c.write = 0
+		l.touch(p.job, p.n)
+	}
+	for _, p := range b.parts {
+		if j := p.job; j.Withdrawn {
+			for _, h := range j.claims {
+				if !h.Committed && !h.Sent && !j.chunks[h.Index/j.size].flying() {
+					l.unhold(h)
+				}
+			}
+			l.drop(j)
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,183 @@
+// Package settings reads the platform's TOML and the operators' XML, and
+// checks both before anything starts.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Settings is everything a controller is told at its start.
+type Settings struct {
+	Node     string   `toml:"node_name" validate:"required"`
+	Zone     string   `toml:"location"`
+	Front    string   `toml:"front" validate:"required,hostname_port"`
+	Back     string   `toml:"back" validate:"required,hostname_port"`
+	Members  []Member `toml:"members" validate:"dive"`
+	Services Services `toml:"services"`
+	Facts    Facts    `toml:"facts"`
+	Operator Operator `toml:"-"`
+}
+
+// Member is another controller.
+type Member struct {
+	Node     string `toml:"node_name" validate:"required"`
+	Zone     string `toml:"location"`
+	Endpoint string `toml:"endpoint" validate:"required,hostname_port"`
+}
+
+// Services are the addresses of what the platform runs.
+type Services struct {
+	Cloud string `toml:"cloud" validate:"required,hostname_port"`
+	State string `toml:"state" validate:"required,hostname_port"`
+}
+
+// Facts are the figures of the deployment.
+type Facts struct {
+	Size         int         `toml:"size" validate:"gte=0"`
+	Zones        []string    `toml:"zones"`
+	ClockErrorMS float64     `toml:"clock_error_ms" validate:"gte=0"`
+	Teams        []Team      `toml:"teams" validate:"dive"`
+	Objectives   []Objective `toml:"objectives"`
+	Workers      Workers     `toml:"workers"`
+	State        State       `toml:"state"`
+	Cloud        Cloud       `toml:"cloud"`
+	Resources    Resources   `toml:"resources"`
+}
+
+// Team is an owner of jobs with its guarantee and limit.
+type Team struct {
+	Name    string  `toml:"name" validate:"required"`
+	CPUs    float64 `toml:"cpus" validate:"gte=0"`
+	CPUsMax float64 `toml:"cpus_max" validate:"gtefield=CPUs"`
+	GPUs    float64 `toml:"gpus" validate:"gte=0"`
+	GPUsMax float64 `toml:"gpus_max" validate:"gtefield=GPUs"`
+}
+
+// Objective is one aim of the users.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Workers are the figures of the worker protocol.
+type Workers struct {
+	ReportS float64 `toml:"report_s" validate:"gt=0"`
+	LeaseS  float64 `toml:"lease_s" validate:"gtfield=ReportS"`
+	CancelS float64 `toml:"cancel_s" validate:"gt=0"`
+}
+
+// State are the limits of the state service.
+type State struct {
+	RPS      float64 `toml:"rps" validate:"gt=0"`
+	WriteRPS float64 `toml:"write_rps" validate:"gt=0"`
+	ValueKB  float64 `toml:"value_kb" validate:"gte=1"`
+	TxnOps   int     `toml:"txn_ops" validate:"gte=4"`
+}
+
+// Cloud are the limits of the cloud.
+type Cloud struct {
+	RPS      float64 `toml:"rps" validate:"gt=0"`
+	ListLagS float64 `toml:"list_lag_s" validate:"gte=0"`
+}
+
+// Resources are what this process may use.
+type Resources struct {
+	CPUShare float64 `toml:"cpu_share" validate:"gt=0"`
+	MemoryMB float64 `toml:"memory_mb" validate:"gt=0"`
+	Sockets  int     `toml:"sockets" validate:"gte=16"`
+}
+
+// OperatorFile is looked for beside the platform's settings file.
+const OperatorFile = "rillflow.xml"
+
+// Load reads the settings at path and the operators' file beside it. An
+// operator file named by xml must exist; the one beside path need not.
+func Load(path, xml string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	named := xml != ""
+	if !named {
+		xml = filepath.Join(filepath.Dir(path), OperatorFile)
+	}
+	own, err := os.ReadFile(xml)
+	if err != nil && (named || !errors.Is(err, fs.ErrNotExist)) {
+		return nil, fmt.Errorf("operator settings: %w", err)
+	}
+	if s.Operator, err = ParseOperator(own); err != nil {
+		return nil, fmt.Errorf("operator settings %s: %w", xml, err)
+	}
+	return s, nil
+}
+
+// Parse reads and checks the platform's settings. Unknown fields are ignored.
+func Parse(data []byte) (*Settings, error) {
+	var s Settings
+	if err := toml.Unmarshal(data, &s); err != nil {
+		return nil, err
+	}
+	if err := validator.New().Struct(&s); err != nil {
+		return nil, firstError(err)
+	}
+	seen := map[string]bool{s.Node: true}
+	for _, m := range s.Members {
+		if seen[m.Node] {
+			return nil, fmt.Errorf("node_name %q is used twice", m.Node)
+		}
+		seen[m.Node] = true
+	}
+	return &s, nil
+}
+
+func firstError(err error) error {
+	var ves validator.ValidationErrors
+	if errors.As(err, &ves) && len(ves) > 0 {
+		e := ves[0]
+		return fmt.Errorf("%s: must satisfy %s %s, is %v", e.Namespace(), e.Tag(), e.Param(), e.Value())
+	}
+	return err
+}
+
+// Lease is how long a worker holds its tasks without an answer.
+func (s *Settings) Lease() time.Duration { return Seconds(s.Facts.Workers.LeaseS) }
+
+// Report is how often a worker reports.
+func (s *Settings) Report() time.Duration { return Seconds(s.Facts.Workers.ReportS) }
+
+// Team finds a team by name.
+func (s *Settings) Team(name string) (Team, bool) {
+	for _, t := range s.Facts.Teams {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Team{}, false
+}
+
+// Frugal tells whether the users price what is rented.
+func (s *Settings) Frugal() bool {
+	for _, o := range s.Facts.Objectives {
+		if o.Kind == "price" || o.Kind == "useful" {
+			return true
+		}
+	}
+	return false
+}
+
+// Seconds converts an amount of seconds.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,237 @@
+// Package state is the client of the state service, the only place where
+// controllers keep anything. It keeps to a share of the service's budget and
+// tells a request that was refused from one whose fate is unknown.
+package state
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"rillflow/internal/wire"
+)
+
+// Errors of a request.
+var (
+	// ErrRefused: the request was surely not executed.
+	ErrRefused = errors.New("state: refused")
+	// ErrUnknown: the request may have been executed, or may yet be.
+	ErrUnknown = errors.New("state: no answer")
+	// ErrNotFound: there is no such key or grant.
+	ErrNotFound = errors.New("state: not found")
+	// ErrTooOld: the change log no longer goes back that far.
+	ErrTooOld = errors.New("state: changes gone")
+	// ErrBusy: the budget was used up (429), a refusal that proves the
+	// service is up.
+	ErrBusy = fmt.Errorf("busy: %w", ErrRefused)
+)
+
+// Client talks to the state service.
+type Client struct {
+	base    string
+	http    *http.Client
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	timeout time.Duration
+	lastOK  atomic.Int64 // steady nanoseconds since start
+	start   time.Time
+	asked   atomic.Int64 // requests sent, for the status page
+}
+
+// Options are a client's budget. Rates are this process's share.
+type Options struct {
+	Addr     string
+	RPS      float64
+	WriteRPS float64
+	Timeout  time.Duration
+}
+
+// New makes a client.
+func New(o Options) *Client {
+	d := &net.Dialer{Timeout: o.Timeout}
+	return &Client{
+		base: "http://" + o.Addr,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         d.DialContext,
+			MaxIdleConnsPerHost: 16,
+			MaxConnsPerHost:     64,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		}},
+		reads:   rate.NewLimiter(rate.Limit(o.RPS), max(4, int(o.RPS/2))),
+		writes:  rate.NewLimiter(rate.Limit(o.WriteRPS), max(4, int(o.WriteRPS))),
+		timeout: o.Timeout,
+		start:   time.Now(),
+	}
+}
+
+// SinceOK is how long ago the service last answered this process.
+func (c *Client) SinceOK() time.Duration {
+	return time.Since(c.start) - time.Duration(c.lastOK.Load())
+}
+
+// Requests counts what was sent.
+func (c *Client) Requests() int64 { return c.asked.Load() }
+
+// do sends one request. It waits for the budget first; a request that cannot
+// be sent in time is refused.
+func (c *Client) do(ctx context.Context, method, path string, in, out any, writes int, extra time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+extra)
+	defer cancel()
+	if err := c.reads.Wait(ctx); err != nil {
+		return fmt.Errorf("%w: budget", ErrBusy)
+	}
+	if writes > 0 {
+		if err := c.writes.WaitN(ctx, min(writes, c.writes.Burst())); err != nil {
+			return fmt.Errorf("%w: write budget", ErrBusy)
+		}
+	}
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("state: %w", err)
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
+	c.asked.Add(1)
+	res, err := c.http.Do(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return fmt.Errorf("%w: %v", ErrRefused, err)
+		}
+		return fmt.Errorf("%w: %v", ErrUnknown, err)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, 16<<20))
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrUnknown, err)
+	}
+	switch res.StatusCode {
+	case http.StatusOK, http.StatusConflict:
+		c.lastOK.Store(int64(time.Since(c.start)))
+		if out != nil {
+			if err := json.Unmarshal(data, out); err != nil {
+				return fmt.Errorf("%w: %v", ErrUnknown, err)
+			}
+		}
+		return nil
+	case http.StatusNotFound:
+		c.lastOK.Store(int64(time.Since(c.start)))
+		return ErrNotFound
+	case http.StatusGone:
+		return ErrTooOld
+	case http.StatusTooManyRequests:
+		return ErrBusy
+	case http.StatusServiceUnavailable:
+		return ErrRefused
+	case http.StatusBadRequest:
+		return fmt.Errorf("%w: 400 %s", ErrRefused, data)
+	}
+	return fmt.Errorf("%w: status %d", ErrUnknown, res.StatusCode)
+}
+
+// Get reads a key; ErrNotFound if there is none.
+func (c *Client) Get(ctx context.Context, key string) (wire.Item, error) {
+	var it wire.Item
+	err := c.do(ctx, http.MethodGet, "/store/"+key, nil, &it, 0, 0)
+	return it, err
+}
+
+// List reads all keys under a prefix. Changes after the generation it returns
+// may be in the items already: apply the log by stamp.
+func (c *Client) List(ctx context.Context, under string) ([]wire.Item, uint64, error) {
+	var all []wire.Item
+	var gen uint64
+	after := ""
+	for first := true; ; first = false {
+		q := url.Values{"under": {under}, "limit": {"1000"}}
+		if after != "" {
+			q.Set("after", after)
+		}
+		var p wire.Page
+		if err := c.do(ctx, http.MethodGet, "/store?"+q.Encode(), nil, &p, 0, c.timeout); err != nil {
+			return nil, 0, err
+		}
+		if first {
+			gen = p.Generation
+		}
+		all = append(all, p.Items...)
+		if !p.More || len(p.Items) == 0 {
+			return all, gen, nil
+		}
+		after = p.Items[len(p.Items)-1].Path
+	}
+}
+
+// Commit runs a transaction once. With a nil error, failed names the guards
+// that did not hold; none means that it was applied.
+func (c *Client) Commit(ctx context.Context, t wire.Commit) (gen uint64, failed []string, err error) {
+	if t.Guards == nil {
+		t.Guards = []wire.Guard{}
+	}
+	if t.Apply == nil {
+		t.Apply = []wire.Change{}
+	}
+	var r wire.Committed
+	if err := c.do(ctx, http.MethodPost, "/commit", t, &r, len(t.Apply), 0); err != nil {
+		return 0, nil, err
+	}
+	return r.Generation, r.Failed, nil
+}
+
+// NewGrant takes a grant.
+func (c *Client) NewGrant(ctx context.Context, life time.Duration) (uint64, error) {
+	var g wire.Grant
+	err := c.do(ctx, http.MethodPost, "/grants", wire.Grant{LifeMS: life.Milliseconds()}, &g, 0, 0)
+	return g.Ticket, err
+}
+
+// Extend renews a grant.
+func (c *Client) Extend(ctx context.Context, ticket uint64) error {
+	return c.do(ctx, http.MethodPost, "/grants/"+strconv.FormatUint(ticket, 10)+"/extend", struct{}{}, nil, 0, 0)
+}
+
+// Revoke ends a grant.
+func (c *Client) Revoke(ctx context.Context, ticket uint64) error {
+	return c.do(ctx, http.MethodDelete, "/grants/"+strconv.FormatUint(ticket, 10), nil, nil, 0, 0)
+}
+
+// Watch waits for changes under a prefix after a generation.
+func (c *Client) Watch(ctx context.Context, under string, after uint64, wait time.Duration) (wire.ChangeLog, error) {
+	q := url.Values{"under": {under}, "after": {strconv.FormatUint(after, 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	var l wire.ChangeLog
+	err := c.do(ctx, http.MethodGet, "/changes?"+q.Encode(), nil, &l, 0, wait)
+	return l, err
+}
+
+// Backoff sleeps with full jitter: a random part of base doubled per try, up
+// to limit. It reports false when ctx ends.
+func Backoff(ctx context.Context, try int, base, limit time.Duration) bool {
+	d := min(base<<min(try, 16), limit)
+	t := time.NewTimer(time.Duration(rand.Int64N(int64(d) + 1)))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
