--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,7 +23,7 @@
 	Members  []Member `toml:"members" validate:"dive"`
 	Services Services `toml:"services"`
 	Facts    Facts    `toml:"facts"`
-	Operator Operator `toml:"-"`
+	Operator Operator `toml:"-" validate:"-"`
 }
 
 // Member is another controller.
