Fleet: a machine is 'never up' only while listed as starting

A new leader returned every running machine that had not reported to it yet, since it judged by the time of rental alone.

--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -271,7 +271,8 @@
 			h.Heard.IsZero() && !listed && len(claims) > 0 && now.Sub(r.began) > r.set.Lease():
 			why = "silent"
 			silent++
-		case h.Heard.IsZero() && t != nil && !h.Asked.IsZero() && now.Sub(h.Asked) > 4*time.Duration(t.ReadyS*float64(time.Second)):
+		case h.Heard.IsZero() && h.Running.IsZero() && listed && l.Phase == wire.HostStarting && len(claims) == 0 &&
+			t != nil && !h.Asked.IsZero() && now.Sub(h.Asked) > 4*time.Duration(t.ReadyS*float64(time.Second)):
 			why = "never up"
 		case r.badHost(h) && !r.mostBad():
 			why = "fails tasks"
