--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -169,10 +169,18 @@
 	return Team{}, false
 }
 
-// Frugal tells whether the users price what is rented.
+// Frugal tells whether to rent for the work on hand rather than ahead of it:
+// as the operator says, or else where the users' aims price what is rented, or
+// give work deadlines, so that to be done sooner is worth nothing to them.
 func (s *Settings) Frugal() bool {
+	switch s.Operator.Fleet.Thrift {
+	case "always":
+		return true
+	case "never":
+		return false
+	}
 	for _, o := range s.Facts.Objectives {
-		if o.Kind == "price" || o.Kind == "useful" {
+		if o.Kind == "price" || o.Kind == "useful" || o.Kind == "deadline" {
 			return true
 		}
 	}
