--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -125,6 +125,12 @@
 func (r *reign) rent(ctx context.Context) error {
 	every := max(r.set.Report()/2, time.Duration(float64(time.Second)*4/r.set.Facts.Cloud.RPS))
 	for n := 0; ; n++ {
+		if !r.term.Sure(r.now()) {
+			if !sleep(ctx, every) {
+				return ctx.Err()
+			}
+			continue
+		}
 		if n%2 == 0 {
 			if list, err := r.cloud.List(ctx); err == nil {
 				r.mu.Lock()
@@ -156,7 +162,7 @@
 			}
 		}
 		r.mu.Unlock()
-		if len(bad) > 0 {
+		if len(bad) > 0 && r.term.Sure(r.now()) {
 			r.release(ctx, bad)
 		}
 		for _, q := range rents {
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -46,6 +46,25 @@
 	mu         sync.Mutex
 	epoch      uint64
 	epochStamp uint64
+	until      time.Time // the grant lasts until then at least
+}
+
+// Sure tells whether nobody else can lead at present. What the state service
+// cannot fence, above all returning machines, is done only while it holds: a
+// leader cut off from the state service would otherwise return machines that
+// work for the next one.
+func (t *Term) Sure(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.until)
+}
+
+// lasts notes that the grant was given or extended by a request sent at a time.
+// A clock may run fast by one part in 2,000; a grant never ends early.
+func (t *Term) lasts(sent time.Time, life time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.until = sent.Add(life - life/500)
 }
 
 // Epoch is the term's present epoch.
@@ -215,6 +234,7 @@
 	if err != nil && !errors.Is(err, state.ErrNotFound) {
 		return nil, 0, err
 	}
+	sent := time.Now()
 	ticket, err := e.st.NewGrant(ctx, e.life)
 	if err != nil {
 		return nil, 0, err
@@ -230,7 +250,9 @@
 		Apply:  []wire.Change{{Put: leaderKey, Data: lv, Ticket: ticket}, {Put: epochKey, Data: nv}},
 	})
 	if err == nil && len(failed) == 0 {
-		return &Term{First: n, st: e.st, stamp: gen, ticket: ticket, epoch: n, epochStamp: gen}, 0, nil
+		t := &Term{First: n, st: e.st, stamp: gen, ticket: ticket, epoch: n, epochStamp: gen}
+		t.lasts(sent, e.life)
+		return t, 0, nil
 	}
 	if err == nil {
 		err = errors.New("lead: another was first")
@@ -278,9 +300,14 @@
 			return
 		case <-tick.C:
 		}
-		if err := e.st.Extend(ctx, t.ticket); errors.Is(err, state.ErrNotFound) {
+		sent := time.Now()
+		err := e.st.Extend(ctx, t.ticket)
+		if errors.Is(err, state.ErrNotFound) {
 			cancel(fmt.Errorf("%w: the grant ended", ErrDeposed))
 			return
 		}
+		if err == nil {
+			t.lasts(sent, e.life)
+		}
 	}
 }
