--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -176,6 +176,17 @@
 		r.led.Free(c, now)
 		return
 	}
+	if j.Gang() && cause != wire.CauseDone {
+		// The others cannot go on without it: they start again together.
+		for _, o := range r.led.HeldBy(j) {
+			if o != c && !o.Over {
+				o.Stopping = true
+				if host := r.hosts[o.Host]; host != nil {
+					host.Nudge()
+				}
+			}
+		}
+	}
 	r.log.Debug("ended", "task", c.Task(), "host", h.Name, "cause", cause)
 	switch cause {
 	case wire.CauseDone:
@@ -200,7 +211,7 @@
 	case wire.CauseInUse, wire.CauseUnknown:
 		r.led.Free(c, now)
 		j.Fails++
-		j.RetryAt = now.Add(r.hold(j.Fails))
+		j.RetryAt = now.Add(r.pause(j.Fails))
 	default: // halted
 		r.led.Free(c, now)
 	}
@@ -220,15 +231,15 @@
 	}
 	r.log.Info("task failed", "job", j.Ref, "host", h.Name, "job_fails", j.Fails, "host_fails", len(h.Errors))
 	if r.badJob(j) {
-		j.RetryAt = now.Add(r.hold(j.Fails))
+		j.RetryAt = now.Add(r.pause(j.Fails))
 	}
 	if len(j.FailedOn) > 16 {
 		clear(j.FailedOn)
 	}
 }
 
-// hold is how long a job waits after so many failures in a row.
-func (r *reign) hold(fails int) time.Duration {
+// pause is how long a job waits after so many failures in a row.
+func (r *reign) pause(fails int) time.Duration {
 	return min(r.set.Report()/2<<min(fails, 6), 2*r.set.Lease())
 }
 
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -46,6 +46,7 @@
 	t                 *wire.MachineType
 	cores, accel, ram float64
 	pick              *ledger.Job // nil: nothing fits
+	held              *ledger.Job // kept for this one until it fits
 	cand              placement.Candidate
 	cost              float64
 	stale             bool
@@ -59,10 +60,11 @@
 		return 0
 	}
 	rooms := r.rooms(now)
+	n := r.gangs(queues, rooms, now)
+	r.hold(queues, rooms, now)
 	for _, m := range rooms {
 		r.choose(m, queues, now)
 	}
-	n := 0
 	for {
 		best := -1
 		for i, m := range rooms {
@@ -79,19 +81,11 @@
 			r.choose(m, queues, now)
 			continue
 		}
-		j := m.pick
-		c, err := r.led.Claim(j, m.h.Name, m.h.Tenure, m.h.Zone)
-		if err != nil {
+		if !r.take(m, m.pick) {
 			r.choose(m, queues, now)
 			continue
 		}
-		m.h.Idle = time.Time{}
-		m.h.Used(j.Spec.Bundle, j.Spec.SizeGB, m.t.LocalGB)
-		r.log.Debug("claim", "task", c.Task(), "try", c.Try, "host", c.Host, "weight", m.cand.Weight)
 		n++
-		m.cores -= j.Spec.Cores
-		m.accel -= j.Spec.Accel
-		m.ram -= j.Spec.RAM
 		// What a claim changes for the other rooms (a guarantee used up, a
 		// zone filled) is looked at when their turn comes.
 		for _, o := range rooms {
@@ -102,6 +96,21 @@
 	}
 }
 
+// take claims the job's next task for a room.
+func (r *reign) take(m *room, j *ledger.Job) bool {
+	c, err := r.led.Claim(j, m.h.Name, m.h.Tenure, m.h.Zone)
+	if err != nil {
+		return false
+	}
+	m.h.Idle = time.Time{}
+	m.h.Used(j.Spec.Bundle, j.Spec.SizeGB, m.t.LocalGB)
+	r.log.Debug("claim", "task", c.Task(), "try", c.Try, "host", c.Host, "weight", m.cand.Weight)
+	m.cores -= j.Spec.Cores
+	m.accel -= j.Spec.Accel
+	m.ram -= j.Spec.RAM
+	return true
+}
+
 // sooner tells whether room a goes before room b: by what it would take, then
 // by how well it suits it.
 func sooner(a, b *room) bool {
@@ -184,7 +193,7 @@
 				stray = true // takes room that no claim tells of
 			}
 		}
-		if !stray && m.cores > 0 {
+		if !stray {
 			rooms = append(rooms, m)
 		}
 	}
@@ -203,9 +212,9 @@
 		if j == nil {
 			continue
 		}
-		tier := 4 + rankOf(j.Spec.Rank)
-		if r.led.Guaranteed(j) {
-			tier = rankOf(j.Spec.Rank)
+		tier := r.tier(j)
+		if m.held != nil && m.held != j && tier >= r.tier(m.held) {
+			continue
 		}
 		cands = append(cands, placement.Candidate{
 			Type: q.name, Tier: tier, Age: now.Sub(j.WaitingSince),
@@ -226,20 +235,43 @@
 // first is the type's first job whose next task fits the room.
 func (r *reign) first(m *room, q *queue) *ledger.Job {
 	for _, j := range q.jobs {
-		s := &j.Spec
-		if s.Cores > m.cores+slack || s.Accel > m.accel+slack || s.RAM > m.ram+slack ||
-			m.h.Loaners && !s.Loaners ||
-			len(s.Flavors) > 0 && !slices.Contains(s.Flavors, m.h.Flavor) ||
-			j.FailedOn[m.h.Name] {
-			continue
-		}
-		if r.led.May(j, m.h.Zone) == nil {
+		if !j.Gang() && m.fits(j) && r.led.May(j, m.h.Zone) == nil {
 			return j
 		}
 	}
 	return nil
 }
 
+// fits tells whether a task of a job fits what is free.
+func (m *room) fits(j *ledger.Job) bool {
+	return within(&j.Spec, m.cores, m.accel, m.ram) && m.allowed(j)
+}
+
+// couldFit tells whether a task of a job would fit the machine were it empty.
+func (m *room) couldFit(j *ledger.Job) bool {
+	return within(&j.Spec, m.t.Cores, m.t.Accel, m.t.RAM) && m.allowed(j)
+}
+
+func within(s *wire.Job, cores, accel, ram float64) bool {
+	return s.Cores <= cores+slack && s.Accel <= accel+slack && s.RAM <= ram+slack
+}
+
+// allowed tells whether a job may be on the room's machine at all.
+func (m *room) allowed(j *ledger.Job) bool {
+	s := &j.Spec
+	return (s.Loaners || !m.h.Loaners) && (s.Locale == "" || s.Locale == m.h.Zone) &&
+		(len(s.Flavors) == 0 || slices.Contains(s.Flavors, m.h.Flavor)) && !j.FailedOn[m.h.Name]
+}
+
+// tier orders jobs: what is within a guarantee before what is borrowed, and in
+// each by rank.
+func (r *reign) tier(j *ledger.Job) int {
+	if r.led.Guaranteed(j) {
+		return rankOf(j.Spec.Rank)
+	}
+	return rankOf("idle") + 1 + rankOf(j.Spec.Rank)
+}
+
 // cost says how well a room suits a job, in seconds: the fetch of its image,
 // then a firm machine taken by work that could run on a spot one, then room
 // left over that is of less use.
--- a/internal/intake/check.go
+++ b/internal/intake/check.go
@@ -113,7 +113,7 @@
 	if !ValidRef(j.Ref) {
 		bad("ref", "wrong form")
 	}
-	if j.Shape != wire.Batch && j.Shape != wire.Standing {
+	if j.Shape != wire.Batch && j.Shape != wire.Standing && j.Shape != wire.Ensemble {
 		bad("shape", "unknown")
 	}
 	if !slices.Contains(ranks, j.Rank) {
@@ -152,7 +152,7 @@
 		return fmt.Errorf("unknown team %q", j.Owner)
 	}
 	n := 1.0
-	if j.Shape == wire.Standing {
+	if j.Shape != wire.Batch {
 		n = float64(j.Members)
 	}
 	const slack = 1e-6
@@ -177,8 +177,8 @@
 	if len(zones) == 0 {
 		return errors.New("a task fits no allowed machine type")
 	}
-	if j.Shape == wire.Standing && j.Members > 1 && j.Scatter && (j.SamePlace || len(zones) < 2) {
-		return errors.New("the replicas cannot be spread as asked")
+	if j.Shape != wire.Batch && j.Members > 1 && j.Scatter && (j.SamePlace || len(zones) < 2) {
+		return errors.New("the tasks cannot be spread as asked")
 	}
 	return nil
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -95,6 +95,9 @@
 	return j.Spec.Members - j.cursor + len(j.requeue)
 }
 
+// Gang tells whether the job's tasks start together or not at all.
+func (j *Job) Gang() bool { return j.Spec.Shape == wire.Ensemble }
+
 // Usage is what a team's claims take.
 type Usage struct{ CPUs, GPUs float64 }
 
@@ -306,6 +309,15 @@
 	return nil
 }
 
+// MayAll tells whether all waiting tasks of a gang are within its team's limit,
+// and none of an earlier start is left.
+func (l *Ledger) MayAll(j *Job) bool {
+	t, u := l.teams[j.Spec.Owner], l.usage[j.Spec.Owner]
+	n := float64(j.WaitingTasks())
+	return n > 0 && len(j.claims) == 0 && u != nil &&
+		u.CPUs+n*j.Spec.Cores <= t.CPUsMax+slack && u.GPUs+n*j.Spec.Accel <= t.GPUsMax+slack
+}
+
 // Guaranteed tells whether one more task is within its team's guarantee.
 func (l *Ledger) Guaranteed(j *Job) bool {
 	t, u := l.teams[j.Spec.Owner], l.usage[j.Spec.Owner]
@@ -371,7 +383,7 @@
 }
 
 func (l *Ledger) checkFinished(j *Job) {
-	if !j.Withdrawn && j.Spec.Shape == wire.Batch && j.done >= j.Spec.Members && !j.Finished {
+	if !j.Withdrawn && j.Spec.Shape != wire.Standing && j.done >= j.Spec.Members && !j.Finished {
 		j.Finished = true
 		for n := range j.chunks {
 			l.touch(j, n)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -48,6 +48,7 @@
 const (
 	Batch    = "batch"
 	Standing = "standing"
+	Ensemble = "ensemble" // a gang: all of its tasks start together
 )
 
 // Report is a worker's beat, and its answer to /do and /status.
