--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -344,7 +344,13 @@
 		c = &chunk{claims: make(map[int]Claim)}
 		j.chunks[n] = c
 	}
-	c.seq++ // a try is never used twice, whatever became of the last
+	// A try is never used twice, whatever became of the last. The members of
+	// a gang find one another by having the same.
+	if j.Gang() {
+		c.seq = j.round()
+	} else {
+		c.seq++
+	}
 	h := &Held{Claim: Claim{Host: host, Tenure: tenure, Try: c.seq, Zone: zone}, Job: j, Index: i}
 	c.claims[i%j.size] = h.Claim
 	l.hold(h)
@@ -352,6 +358,19 @@
 	return h, nil
 }
 
+// round is the try of a gang's next claim: that of the members claimed already,
+// or a new one for the first.
+func (j *Job) round() uint64 {
+	for _, h := range j.claims {
+		return h.Try
+	}
+	top := uint64(0)
+	for _, c := range j.chunks {
+		top = max(top, c.seq)
+	}
+	return top + 1
+}
+
 // Free gives a claim up on proof that its task is gone, and lets the task be
 // claimed again.
 func (l *Ledger) Free(h *Held, now time.Time) {
