--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -97,7 +97,20 @@
 	if p.set.Frugal() {
 		return p.frugal(types, ms, need, now)
 	}
-	return p.ample(types, ms, need, now), nil
+	if len(need.Tasks) == 0 {
+		for _, m := range ms {
+			if t := types[m.Flavor]; t != nil && p.idle(m, t, now) {
+				leave = append(leave, m.Name)
+			}
+		}
+	}
+	return p.ample(types, ms, need, now), leave
+}
+
+// idle tells whether a machine has had nothing to do for long enough.
+func (p *Planner) idle(m Machine, t *wire.MachineType, now time.Time) bool {
+	return !m.Leaving && !m.Idle.IsZero() &&
+		now.Sub(m.Idle) >= time.Duration(p.set.Operator.Fleet.Idle*float64(settings.Seconds(t.ReadyS)))
 }
 
 // offers lists what can be rented now and would serve some task, cheapest core
@@ -157,7 +170,7 @@
 func (p *Planner) frugal(types map[string]*wire.MachineType, ms []Machine, need Need, now time.Time) ([]wire.Rent, []string) {
 	p.smooth(need, now)
 	spare := 1 + p.set.Operator.Fleet.Spare
-	steady := need.Steady*spare + 0.0
+	steady := need.Steady * spare
 	passing := max(need.Passing, p.passing) * spare
 
 	var firm, spot float64
@@ -194,8 +207,7 @@
 	var leave []string
 	idle := slices.DeleteFunc(slices.Clone(ms), func(m Machine) bool {
 		t := types[m.Flavor]
-		return t == nil || m.Leaving || m.Idle.IsZero() ||
-			now.Sub(m.Idle) < time.Duration(p.set.Operator.Fleet.Idle*float64(settings.Seconds(t.ReadyS)))
+		return t == nil || !p.idle(m, t, now)
 	})
 	// The dearest core goes first.
 	price := func(m Machine) float64 {
--- /dev/null
+++ b/internal/intake/check_test.go
@@ -0,0 +1,116 @@
+package intake
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"rillflow/internal/settings"
+	"rillflow/internal/wire"
+)
+
+const goodJob = `{"ref":"req-000412","jobclass":"train","owner":"vision","shape":"batch","rank":"urgent","members":16,
+"cores":8.0,"accelerators":1.0,"ram_gb":64.0,"bundle":"img-07","size_gb":6.2,"flavors":["g8"],"locale":null,
+"same_place":false,"scatter":false,"loaners":true,"expect_s":240.0,"snapshot_s":30.0,"flush_s":4.0,"due_s":900.0}`
+
+func TestParse(t *testing.T) {
+	for _, tc := range []struct{ name, old, new, ref, want string }{
+		{"good", "", "", "req-000412", ""},
+		{"unknown field", `"ref"`, `"hue":1,"ref"`, "req-000412", ""},
+		{"nulls left out", `"locale":null,`, "", "req-000412", ""},
+		{"not JSON", `{"ref"`, `{ref`, "", "malformed"},
+		{"not an object", goodJob, `[1]`, "", "malformed"},
+		{"null", goodJob, `null`, "", "ref"},
+		{"missing field", `"cores":8.0,`, "", "req-000412", "cores: missing"},
+		{"null where it may not be", `"cores":8.0`, `"cores":null`, "req-000412", "cores: missing"},
+		{"wrong type keeps the reference", `"members":16`, `"members":"16"`, "req-000412", "malformed"},
+		{"fraction of a task", `"members":16`, `"members":1.5`, "req-000412", "malformed"},
+		{"no task", `"members":16`, `"members":0`, "req-000412", "members: invalid"},
+		{"too many tasks", `"members":16`, `"members":100001`, "req-000412", "members: invalid"},
+		{"negative", `"ram_gb":64.0`, `"ram_gb":-1`, "req-000412", "ram_gb: invalid"},
+		{"reference of another form", `req-000412`, `job-1`, "", "ref: wrong form"},
+		{"reference with a path", `req-000412`, `req-1/2`, "", "ref: wrong form"},
+		{"unknown shape", `"batch"`, `"heap"`, "req-000412", "shape: unknown"},
+		{"unknown rank", `"urgent"`, `"soon"`, "req-000412", "rank: unknown"},
+		{"no flavor allowed", `["g8"]`, `[]`, "req-000412", "flavors: invalid"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, ref, err := Parse([]byte(strings.Replace(goodJob, tc.old, tc.new, 1)))
+			if ref != tc.ref {
+				t.Errorf("reference %q, want %q", ref, tc.ref)
+			}
+			if (tc.want == "") != (err == nil) || err != nil && !strings.Contains(err.Error(), tc.want) {
+				t.Errorf("got %v, want %q", err, tc.want)
+			}
+		})
+	}
+}
+
+func TestRunnable(t *testing.T) {
+	set := &settings.Settings{Facts: settings.Facts{Teams: []settings.Team{{Name: "vision", CPUsMax: 64, GPUsMax: 4}}}}
+	types := map[string]*wire.MachineType{
+		"g8": {Label: "g8", Cores: 32, Accel: 4, RAM: 64, Locales: []string{"a"}},
+		"c4": {Label: "c4", Cores: 4, RAM: 16, Locales: []string{"a", "b"}},
+	}
+	for _, tc := range []struct {
+		name  string
+		tweak func(*wire.Job)
+		types map[string]*wire.MachineType
+		want  string
+	}{
+		{"fits", func(*wire.Job) {}, types, ""},
+		{"unknown team", func(j *wire.Job) { j.Owner = "x" }, types, "unknown team"},
+		{"array: one task counts", func(j *wire.Job) { j.Members = 1000 }, types, ""},
+		{"service: all tasks count", func(j *wire.Job) { j.Shape = wire.Standing; j.Members = 33 }, types, "limit"},
+		{"too large for any", func(j *wire.Job) { j.RAM = 65 }, types, "fits no allowed"},
+		{"not in that zone", func(j *wire.Job) { j.Cores = 8; j.Locale = "b" }, types, "fits no allowed"},
+		{"not of that type", func(j *wire.Job) { j.Cores = 8; j.Flavors = []string{"c4"} }, types, "fits no allowed"},
+		{"spread over one zone", func(j *wire.Job) { j.Shape = wire.Standing; j.Scatter = true; j.Locale = "a" }, types, "spread"},
+		{"spread and together", func(j *wire.Job) { j.Shape = wire.Standing; j.Scatter, j.SamePlace = true, true }, types, "spread"},
+		{"types not known", func(*wire.Job) {}, nil, ErrUndecided.Error()},
+		{"unknown team while types are not known", func(j *wire.Job) { j.Owner = "x" }, nil, "unknown team"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			j := wire.Job{Owner: "vision", Shape: wire.Batch, Members: 2, Cores: 2, RAM: 8}
+			tc.tweak(&j)
+			err := Runnable(&j, set, tc.types)
+			if (tc.want == "") != (err == nil) || err != nil && !strings.Contains(err.Error(), tc.want) {
+				t.Errorf("got %v, want %q", err, tc.want)
+			}
+			if tc.types == nil && tc.want == ErrUndecided.Error() && !errors.Is(err, ErrUndecided) {
+				t.Error("an undecided job must not be refused")
+			}
+		})
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	m := newMemory(3)
+	for _, r := range []string{"a", "b", "a", "c", "d"} {
+		m.put(r, wire.Phase{Ref: r})
+	}
+	if _, ok := m.get("a"); ok || len(m.m) != 3 {
+		t.Errorf("%d kept", len(m.m))
+	}
+	if p, ok := m.get("d"); !ok || p.Ref != "d" {
+		t.Error("the newest is gone")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(goodJob))
+	f.Add([]byte(`{"ref":1}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		j, ref, err := Parse(body)
+		if err != nil {
+			return
+		}
+		if ref != j.Ref || !ValidRef(ref) || j.Members < 1 || j.Members > maxMembers || j.Cores < 0 {
+			t.Fatalf("accepted %+v", j)
+		}
+		if _, err := json.Marshal(j); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,325 @@
+package ledger
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"rillflow/internal/settings"
+	"rillflow/internal/wire"
+)
+
+var now = time.Unix(5000, 0)
+
+func teams() []settings.Team {
+	return []settings.Team{{Name: "a", CPUs: 8, CPUsMax: 16}, {Name: "b", CPUs: 100, CPUsMax: 100}}
+}
+
+func job(owner, shape string, n int, cores float64) Record {
+	return Record{Job: wire.Job{Owner: owner, Shape: shape, Members: n, Cores: cores}, Chunk: 8}
+}
+
+func TestMay(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		rec   Record
+		tweak func(*wire.Job)
+		zones []string // claims made before
+		zone  string
+		want  error
+	}{
+		{"plain", job("b", wire.Batch, 4, 1), nil, nil, "x", nil},
+		{"limit reached by one's own claims", job("a", wire.Batch, 9, 4), nil, []string{"x", "x", "y", "y"}, "x", ErrQuota},
+		{"just within the limit", job("a", wire.Batch, 9, 4), nil, []string{"x", "x", "y"}, "x", nil},
+		{"none left", job("b", wire.Batch, 1, 1), nil, []string{"x"}, "x", ErrNoTask},
+		{"unknown team", job("c", wire.Batch, 1, 1), nil, nil, "x", ErrQuota},
+		{"locale", job("b", wire.Batch, 1, 1), func(j *wire.Job) { j.Locale = "y" }, nil, "x", ErrPlace},
+		{"scatter: 5 of 9", job("b", wire.Standing, 9, 1), func(j *wire.Job) { j.Scatter = true }, []string{"x", "x", "x", "x"}, "x", nil},
+		{"scatter: not 6 of 9", job("b", wire.Standing, 9, 1), func(j *wire.Job) { j.Scatter = true }, []string{"x", "x", "x", "x", "x"}, "x", ErrPlace},
+		{"scatter: 1 of 1", job("b", wire.Standing, 1, 1), func(j *wire.Job) { j.Scatter = true }, nil, "x", nil},
+		{"same place", job("b", wire.Batch, 3, 1), func(j *wire.Job) { j.SamePlace = true }, []string{"y"}, "x", ErrPlace},
+		{"same place kept", job("b", wire.Batch, 3, 1), func(j *wire.Job) { j.SamePlace = true }, []string{"x"}, "x", nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := New("w", teams())
+			if tc.tweak != nil {
+				tc.tweak(&tc.rec.Job)
+			}
+			j := l.Add("req-1", tc.rec, 1)
+			for i, z := range tc.zones {
+				if _, err := l.Claim(j, fmt.Sprint("h", i), 1, z); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := l.May(j, tc.zone); !errors.Is(err, tc.want) {
+				t.Errorf("got %v, want %v", err, tc.want)
+			}
+		})
+	}
+}
+
+// A claim whose task's fate is unknown counts in the quota and the spread
+// until it is freed.
+func TestClaimCountsUntilFreed(t *testing.T) {
+	l := New("w", teams())
+	j := l.Add("req-1", job("a", wire.Batch, 9, 16), 1)
+	h, err := l.Claim(j, "h", 1, "x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := l.Claim(j, "g", 1, "x"); !errors.Is(err, ErrQuota) {
+		t.Fatalf("second claim: %v", err)
+	}
+	l.Free(h, now)
+	l.Free(h, now) // a second proof changes nothing
+	if u := l.Usage("a"); u.CPUs != 0 {
+		t.Errorf("usage %v after freeing", u)
+	}
+	again, err := l.Claim(j, "g", 1, "x")
+	if err != nil || again.Index != h.Index || again.Try <= h.Try {
+		t.Errorf("claimed again as %+v, %v: the try must rise", again, err)
+	}
+}
+
+// A finish is told to the worker as reapable only once durable.
+func TestFinishStaysUntilDurable(t *testing.T) {
+	l := New("w", teams())
+	j := l.Add("req-1", job("b", wire.Batch, 1, 1), 7)
+	h, _ := l.Claim(j, "h", 1, "x")
+	b := l.Next(16, 1<<16)
+	if r := l.Committed(b, 8); len(r.Claims) != 1 || !h.Committed {
+		t.Fatalf("claims %v", r.Claims)
+	}
+	l.Finish(h)
+	if l.OnHost("h")[h.Task()] == nil {
+		t.Fatal("the claim went before its finish was durable")
+	}
+	b = l.Next(16, 1<<16)
+	var keys []string
+	for _, c := range b.Apply {
+		keys = append(keys, c.Put+c.Remove)
+	}
+	if got := strings.Join(keys, " "); got != "c/req-1/0 j/req-1 d/req-1" {
+		t.Errorf("wrote %s", got)
+	}
+	if r := l.Committed(b, 9); len(r.Over) != 1 || len(r.Ended) != 1 {
+		t.Errorf("result %+v", r)
+	}
+	if l.OnHost("h") != nil || l.Job("req-1") != nil {
+		t.Error("something is left of a job that is done")
+	}
+}
+
+// A claim never reaches the store once its job is withdrawn: the guard on the
+// live key fails, and the claim, never launched, is dropped.
+func TestWithdrawnBeforeCommit(t *testing.T) {
+	l := New("w", teams())
+	j := l.Add("req-1", job("b", wire.Standing, 2, 1), 7)
+	if _, err := l.Claim(j, "h", 1, "x"); err != nil {
+		t.Fatal(err)
+	}
+	b := l.Next(16, 1<<16)
+	guarded := false
+	for _, g := range b.Guards {
+		guarded = guarded || g.Path == "j/req-1" && g.Stamp == 7
+	}
+	if !guarded {
+		t.Fatal("a claim is not guarded on its job being live")
+	}
+	l.Withdraw("req-1")
+	if len(l.OnHost("h")) != 1 {
+		t.Fatal("the fate of a claim being written is not known yet")
+	}
+	l.Failed(b)
+	if len(l.OnHost("h")) != 0 || l.Usage("b").CPUs != 0 {
+		t.Error("the claim outlived its failed write")
+	}
+}
+
+// A claim that may have been launched stands after a withdrawal until proof.
+func TestWithdrawnAfterLaunch(t *testing.T) {
+	l := New("w", teams())
+	j := l.Add("req-1", job("b", wire.Standing, 1, 1), 7)
+	h, _ := l.Claim(j, "h", 1, "x")
+	l.Committed(l.Next(16, 1<<16), 8)
+	h.Sent = true
+	l.Withdraw("req-1")
+	if l.Usage("b").CPUs != 1 {
+		t.Fatal("a task that may run no longer counts")
+	}
+	l.Free(h, now)
+	b := l.Next(16, 1<<16)
+	if b == nil || len(b.Apply) != 1 || b.Apply[0].Remove != "c/req-1/0" {
+		t.Fatalf("batch %+v", b)
+	}
+	l.Committed(b, 9)
+	if l.Job("req-1") != nil {
+		t.Error("the job is not forgotten")
+	}
+}
+
+// A job withdrawn after its last task finished but before that was durable
+// leaves nothing behind.
+func TestWithdrawnWhileFinishing(t *testing.T) {
+	l := New("w", teams())
+	j := l.Add("req-1", job("b", wire.Batch, 1, 1), 7)
+	h, _ := l.Claim(j, "h", 1, "x")
+	l.Committed(l.Next(16, 1<<16), 8)
+	l.Finish(h)
+	b := l.Next(16, 1<<16)
+	l.Failed(b)
+	l.Withdraw("req-1")
+	for range 3 {
+		if b := l.Next(16, 1<<16); b != nil {
+			l.Committed(b, 10)
+		}
+	}
+	if l.Job("req-1") != nil || l.Usage("b").CPUs != 0 {
+		t.Error("something is left")
+	}
+}
+
+func TestGangSharesATry(t *testing.T) {
+	l := New("w", teams())
+	j := l.Add("req-1", job("b", wire.Ensemble, 20, 1), 7)
+	for round := uint64(1); round < 4; round++ {
+		if !l.MayAll(j) {
+			t.Fatal("the gang may not start")
+		}
+		for i := range 20 {
+			h, err := l.Claim(j, fmt.Sprint("h", i), 1, "x")
+			if err != nil || h.Try != round {
+				t.Fatalf("round %d: %+v %v", round, h, err)
+			}
+		}
+		for _, h := range l.HeldBy(j) {
+			if l.MayAll(j) {
+				t.Fatal("a gang may start while members of its last start are left")
+			}
+			l.Free(h, now)
+		}
+	}
+}
+
+func TestBatchLimits(t *testing.T) {
+	l := New("w", []settings.Team{{Name: "a", CPUsMax: 1e6}})
+	j := l.Add("req-1", job("a", wire.Batch, 1000, 1), 7)
+	for range 1000 {
+		l.Claim(j, "host-with-a-name", 1, "zone-with-a-name")
+	}
+	seen := 0
+	for b := l.Next(12, 8<<10); b != nil; b = l.Next(12, 8<<10) {
+		if len(b.Apply) > 12 {
+			t.Fatalf("%d changes in a batch", len(b.Apply))
+		}
+		for _, c := range b.Apply {
+			if len(c.Data) > 1<<10 {
+				t.Fatalf("a value of %d bytes", len(c.Data))
+			}
+		}
+		seen += len(l.Committed(b, 9).Claims)
+	}
+	if seen != 1000 {
+		t.Errorf("%d claims became durable", seen)
+	}
+}
+
+// store applies batches as the state service would.
+type store map[string]json.RawMessage
+
+func (s store) apply(b *Batch) {
+	for _, c := range b.Apply {
+		if c.Put != "" {
+			s[c.Put] = c.Data
+		} else {
+			delete(s, c.Remove)
+		}
+	}
+}
+
+// TestTakeover runs a job through random claims, ends, finishes and failed
+// writes, and has a new leader read what is stored after each write: it must
+// find each durable claim, every durable finish and no task twice.
+func TestTakeover(t *testing.T) {
+	for seed := range uint64(40) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		s := store{}
+		l := New("w", teams())
+		rec := job("b", wire.Batch, 30, 1)
+		j := l.Add("req-1", rec, 1)
+		durable := map[int]Claim{}
+		for step := uint64(2); l.Job("req-1") != nil && step < 3000; step++ {
+			switch held := l.HeldBy(j); {
+			case rnd.IntN(2) == 0 && j.WaitingTasks() > 0:
+				l.Claim(j, fmt.Sprint("h", rnd.IntN(4)), 1, "x")
+			case len(held) > 0:
+				if h := held[rnd.IntN(len(held))]; !h.Committed || h.Over {
+				} else if rnd.IntN(2) == 0 {
+					l.Finish(h)
+				} else {
+					l.Free(h, now)
+				}
+			}
+			b := l.Next(4, 1<<16)
+			if b == nil {
+				continue
+			}
+			if rnd.IntN(3) == 0 {
+				l.Failed(b)
+				continue
+			}
+			s.apply(b)
+			l.Committed(b, step)
+			clear(durable)
+			for _, h := range l.HeldBy(j) {
+				if h.Committed && !h.Over {
+					durable[h.Index] = h.Claim
+				}
+			}
+			if s["d/req-1"] != nil {
+				continue
+			}
+			n := New("n", teams())
+			k := n.Add("req-1", rec, 1)
+			for key, data := range s {
+				if err := n.Load(key, data, 5, 1); err != nil {
+					t.Fatal(err)
+				}
+			}
+			n.Loaded()
+			for i, c := range durable {
+				if got := n.OnHost(c.Host)[Task{"req-1", i}]; got == nil || got.Claim != c {
+					t.Fatalf("seed %d: durable claim of task %d on %s is not found", seed, i, c.Host)
+				}
+			}
+			if n := k.WaitingTasks() + k.Active() + k.Done(); n != 30 {
+				t.Fatalf("seed %d: %d tasks accounted for", seed, n)
+			}
+		}
+		if l.Job("req-1") != nil || len(s) != 1 {
+			t.Fatalf("seed %d: the job did not end: %v", seed, s)
+		}
+	}
+}
+
+func FuzzChunk(f *testing.F) {
+	f.Add([]byte(`{"q":3,"d":"AQ","c":["1 h 2 3 z"],"w":"x"}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := decodeChunk(data, 1)
+		if err != nil {
+			return
+		}
+		out, err := c.encode("w")
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := decodeChunk(out, 1)
+		if err != nil || len(again.claims) != len(c.claims) || again.done.count() != c.done.count() {
+			t.Fatalf("%q became %q: %v", data, out, err)
+		}
+	})
+}
