--- a/internal/agent/host.go
+++ b/internal/agent/host.go
@@ -37,6 +37,12 @@
 	Taint    uint64
 	InFlight bool
 
+	// Sole is the epoch since which this leader alone has answered the host;
+	// 0 while another node may.
+	Sole uint64
+	// Learned are finishes that the host's owner has yet to be told.
+	Learned []Finish
+
 	Sulking time.Time // refused a launch for want of room: not before this
 	Errors  []string  // jobs whose tasks failed here since the last success
 	Idle    time.Time // since when nothing is on it
@@ -50,6 +56,12 @@
 	Since time.Time // first seen in this phase
 }
 
+// Finish is what one finished task teaches.
+type Finish struct {
+	Type, Flavor string
+	Run          time.Duration
+}
+
 // Image is a bundle that a host fetched.
 type Image struct {
 	Bundle string
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -32,11 +32,25 @@
 	direct *agent.Direct
 	el     *lead.Elector
 	types  *fleet.Catalogue
+	parts  Parts
 	log    *slog.Logger
 	now    func() time.Time
 	cur    atomic.Pointer[reign]
 }
 
+// Parts are the owners among whom the hosts are parted, this node included.
+type Parts interface {
+	// Pick has a part's owner pick for its rooms.
+	Pick(ctx context.Context, node string, o placement.Offer) ([]placement.Picked, error)
+	// Learn takes a finish on a host of this node's own part.
+	Learn(f agent.Finish)
+	// Fit are the nodes that may own a part now, given those that do.
+	Fit(have []string) []string
+	// Alone tells whether the state service refuses this node but serves a
+	// peer, and which.
+	Alone() (string, bool)
+}
+
 // Deps are what a Control works with.
 type Deps struct {
 	Settings *settings.Settings
@@ -45,12 +59,13 @@
 	Direct   *agent.Direct
 	Elector  *lead.Elector
 	Types    *fleet.Catalogue
+	Parts    Parts
 	Log      *slog.Logger
 }
 
 // New makes a Control.
 func New(d Deps) *Control {
-	return &Control{set: d.Settings, st: d.State, cloud: d.Cloud, direct: d.Direct, el: d.Elector, types: d.Types, log: d.Log, now: time.Now}
+	return &Control{set: d.Settings, st: d.State, cloud: d.Cloud, direct: d.Direct, el: d.Elector, types: d.Types, parts: d.Parts, log: d.Log, now: time.Now}
 }
 
 // reign is the state of one term. Everything below mu is guarded by it.
@@ -68,7 +83,6 @@
 	mu     sync.Mutex
 	led    *ledger.Ledger
 	hosts  map[string]*agent.Host
-	table  *placement.Table
 	gone   map[string]time.Time // released, with when
 	rents  *fleet.Planner
 	listed map[string]wire.ListedHost
@@ -80,7 +94,6 @@
 // Serve is one term.
 func (c *Control) Serve(ctx context.Context, term *lead.Term) error {
 	g, gctx := errgroup.WithContext(ctx)
-	op := c.set.Operator.Placement
 	r := &reign{
 		Control: c, term: term, ready: make(chan struct{}), group: g, ctx: gctx,
 		flushes: make(chan struct{}, 1), plans: make(chan struct{}, 1), raises: make(chan struct{}, 1),
@@ -90,11 +103,7 @@
 		listed: make(map[string]wire.ListedHost),
 		began:  c.now(),
 		took:   newLatencies(),
-		table: placement.NewTable(placement.Params{
-			Horizon: op.Horizon, Bonus: op.Bonus, RunBound: op.RunBound,
-			Tick: time.Duration(op.Tick * float64(c.set.Report())),
-		}, c.now()),
-		rents: fleet.NewPlanner(c.set, term.First),
+		rents:  fleet.NewPlanner(c.set, term.First),
 	}
 	c.cur.Store(r)
 	defer c.cur.CompareAndSwap(r, nil)
@@ -105,7 +114,7 @@
 	close(r.ready)
 	for _, duty := range []func(context.Context) error{
 		func(ctx context.Context) error { return r.follow(ctx, gen) },
-		r.flush, r.plan, r.tend, r.raise, r.rent,
+		r.flush, r.plan, r.tend, r.raise, r.rent, r.watchParts,
 	} {
 		g.Go(func() error { return duty(gctx) })
 	}
@@ -248,7 +257,8 @@
 	kick(r.flushes)
 }
 
-// raise moves the epoch on when a command of unknown fate must be fenced off.
+// raise moves the epoch on, when a command of unknown fate must be fenced off
+// or the hosts are to be parted among others.
 func (r *reign) raise(ctx context.Context) error {
 	for {
 		select {
@@ -256,12 +266,17 @@
 			return ctx.Err()
 		case <-r.raises:
 		}
-		err := r.term.Raise(ctx)
+		err := r.term.Raise(ctx, r.parts.Fit(r.term.Map().Parts))
 		if errors.Is(err, lead.ErrDeposed) {
 			return err
 		}
 		if err == nil {
-			r.log.Info("epoch raised", "epoch", r.term.Epoch())
+			r.mu.Lock()
+			m := r.term.Map()
+			for _, h := range r.hosts {
+				r.own(h, m)
+			}
+			r.mu.Unlock()
 		}
 		// At most one in a report interval: each makes every worker report.
 		if !sleep(ctx, r.set.Report()) {
@@ -270,6 +285,16 @@
 	}
 }
 
+// own notes since which epoch this node has answered a host without a break.
+func (r *reign) own(h *agent.Host, m lead.Map) {
+	switch {
+	case m.Owner(h.Name) != r.set.Node:
+		h.Sole = 0
+	case h.Sole == 0:
+		h.Sole = m.Epoch
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/control/gang.go
+++ b/internal/control/gang.go
@@ -37,7 +37,7 @@
 func (r *reign) muster(j *ledger.Job, rooms []*room) []*room {
 	need := j.WaitingTasks()
 	order := slices.Clone(rooms)
-	slices.SortStableFunc(order, func(a, b *room) int { return cmp.Compare(r.cost(a, j), r.cost(b, j)) })
+	slices.SortStableFunc(order, func(a, b *room) int { return cmp.Compare(a.fetch(j), b.fetch(j)) })
 	for _, zone := range zonesOf(j, order) {
 		perZone := make(map[string]int)
 		var got []*room
@@ -147,3 +147,11 @@
 	}
 	return n
 }
+
+// fetch is how long the machine would fetch the job's image, in seconds.
+func (m *room) fetch(j *ledger.Job) float64 {
+	if m.t.PullRate <= 0 || m.h.HasImage(j.Spec.Bundle) {
+		return 0
+	}
+	return j.Spec.SizeGB / m.t.PullRate
+}
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -8,7 +8,6 @@
 
 	"rillflow/internal/agent"
 	"rillflow/internal/ledger"
-	"rillflow/internal/placement"
 	"rillflow/internal/state"
 	"rillflow/internal/wire"
 )
@@ -17,19 +16,21 @@
 var ErrNotLeading = errors.New("control: not leading")
 
 // Beat takes in a worker's report and answers with its orders.
-func (c *Control) Beat(ctx context.Context, rep *wire.Report) (wire.Orders, error) {
+//
+// What the host's tasks taught is returned too, if another node owns it.
+func (c *Control) Beat(ctx context.Context, rep *wire.Report) (wire.Orders, []agent.Finish, error) {
 	r := c.cur.Load()
 	if r == nil {
-		return wire.Orders{}, ErrNotLeading
+		return wire.Orders{}, nil, ErrNotLeading
 	}
 	t := time.NewTimer(c.set.Report() / 2)
 	defer t.Stop()
 	select {
 	case <-r.ready:
 	case <-t.C:
-		return wire.Orders{}, ErrNotLeading
+		return wire.Orders{}, nil, ErrNotLeading
 	case <-ctx.Done():
-		return wire.Orders{}, ctx.Err()
+		return wire.Orders{}, nil, ctx.Err()
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -37,11 +38,11 @@
 	if rep.Epoch > epoch || r.ctx.Err() != nil {
 		// The worker knows a later leader. A 200 would be dropped and hold
 		// the worker here while its lease runs out.
-		return wire.Orders{}, ErrNotLeading
+		return wire.Orders{}, nil, ErrNotLeading
 	}
 	h := r.report(rep)
 	if h == nil {
-		return wire.Orders{}, ErrNotLeading
+		return wire.Orders{}, nil, ErrNotLeading
 	}
 	now := r.now()
 	h.Heard, r.heard = now, now
@@ -53,7 +54,9 @@
 		out.Orders = append(out.Orders, h.Orders(r.led.OnHost(h.Name), epoch, true)...)
 		r.fence(h)
 	}
-	return out, nil
+	learned := h.Learned
+	h.Learned = nil
+	return out, learned, nil
 }
 
 // host finds or makes a host.
@@ -61,6 +64,7 @@
 	h := r.hosts[name]
 	if h == nil {
 		h = agent.NewHost(name)
+		r.own(h, r.term.Map())
 		r.hosts[name] = h
 		r.group.Go(func() error { return r.send(r.ctx, h) })
 	}
@@ -199,7 +203,12 @@
 		// Only tasks that were seen running teach: a result that was kept
 		// from an earlier try comes back at once and says nothing.
 		if !c.Running.IsZero() {
-			r.table.Finish(placement.Arm{Type: r.typeOf(j), Machine: h.Flavor}, now.Sub(c.Running), now)
+			f := agent.Finish{Type: r.typeOf(j), Flavor: h.Flavor, Run: now.Sub(c.Running)}
+			if r.term.Map().Owner(h.Name) == r.set.Node {
+				r.parts.Learn(f)
+			} else if len(h.Learned) < 64 {
+				h.Learned = append(h.Learned, f)
+			}
 		}
 		r.led.Finish(c)
 	case wire.CauseError:
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"rillflow/internal/agent"
@@ -12,7 +14,7 @@
 	"rillflow/internal/wire"
 )
 
-// plan offers freed rooms to waiting tasks whenever something changed.
+// plan has freed rooms filled whenever something changed.
 func (r *reign) plan(ctx context.Context) error {
 	for {
 		select {
@@ -20,11 +22,7 @@
 			return ctx.Err()
 		case <-r.plans:
 		}
-		r.mu.Lock()
-		n := r.place(r.now())
-		r.mu.Unlock()
-		if n > 0 {
-			kick(r.flushes)
+		for r.pass(ctx) {
 		}
 		// Reports come in flocks: one pass serves several.
 		if !sleep(ctx, r.set.Report()/256) {
@@ -33,6 +31,10 @@
 	}
 }
 
+// maxJobs bounds the jobs of a type in one offer; the rest follow when these
+// are placed.
+const maxJobs = 64
+
 // queue is a type with waiting tasks.
 type queue struct {
 	name  string
@@ -45,55 +47,150 @@
 	h                 *agent.Host
 	t                 *wire.MachineType
 	cores, accel, ram float64
-	pick              *ledger.Job // nil: nothing fits
 	held              *ledger.Job // kept for this one until it fits
-	cand              placement.Candidate
-	cost              float64
-	stale             bool
 }
 
-// place claims tasks for rooms until nothing waiting fits, and returns how
-// many.
-func (r *reign) place(now time.Time) int {
+// pass offers each part's rooms to its owner, and claims what the owners pick.
+// It reports whether another pass may find more.
+func (r *reign) pass(ctx context.Context) bool {
+	r.mu.Lock()
+	now := r.now()
 	queues := r.queues(now)
 	if len(queues) == 0 {
-		return 0
+		r.mu.Unlock()
+		return false
 	}
 	rooms := r.rooms(now)
 	n := r.gangs(queues, rooms, now)
 	r.hold(queues, rooms, now)
-	for _, m := range rooms {
-		r.choose(m, queues, now)
+	offers := r.offers(queues, rooms, now)
+	r.mu.Unlock()
+
+	picks := r.ask(ctx, offers)
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	byName := make(map[string]*room, len(rooms))
+	for _, m := range r.rooms(r.now()) { // reports came in meanwhile
+		byName[m.h.Name] = m
 	}
-	for {
-		best := -1
-		for i, m := range rooms {
-			if m.pick != nil && (best < 0 || sooner(m, rooms[best])) {
-				best = i
+	passed := false
+	for _, p := range picks {
+		j, m := r.led.Job(p.Ref), byName[p.Host]
+		if j == nil || m == nil || !m.fits(j) {
+			continue
+		}
+		if r.tier(j) != p.Tier {
+			passed = true // its team's guarantee is used up: others may come first
+			continue
+		}
+		if r.take(m, j) {
+			n++
+		}
+	}
+	if n > 0 {
+		kick(r.flushes)
+	}
+	return n > 0 && passed
+}
+
+// ask has the owners pick, all at once. An owner that does not answer soon has
+// its rooms offered again with the next pass.
+func (r *reign) ask(ctx context.Context, offers map[string]*placement.Offer) []placement.Picked {
+	ctx, cancel := context.WithTimeout(ctx, r.set.Report()/12)
+	defer cancel()
+	var mu sync.Mutex
+	var all []placement.Picked
+	var wg sync.WaitGroup
+	for node, o := range offers {
+		wg.Go(func() {
+			ps, err := r.parts.Pick(ctx, node, *o)
+			if err != nil {
+				r.log.Debug("picks", "owner", node, "err", err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, ps...)
+		})
+	}
+	wg.Wait()
+	slices.SortStableFunc(all, placement.Picked.Before)
+	return all
+}
+
+// offers makes the offer for each part: its rooms that something fits, and the
+// types that wait.
+func (r *reign) offers(queues []*queue, rooms []*room, now time.Time) map[string]*placement.Offer {
+	var qs []placement.Queue
+	for _, q := range queues {
+		pq := placement.Queue{Type: q.name, Count: q.count}
+		for _, j := range q.jobs {
+			if w := r.waiting(j, rooms, now); w.Tasks > 0 && len(pq.Jobs) < maxJobs {
+				pq.Jobs = append(pq.Jobs, w)
 			}
 		}
-		if best < 0 {
-			return n
+		if len(pq.Jobs) > 0 {
+			qs = append(qs, pq)
 		}
-		m := rooms[best]
-		if m.stale || r.led.May(m.pick, m.h.Zone) != nil {
-			m.stale = false
-			r.choose(m, queues, now)
+	}
+	offers := make(map[string]*placement.Offer)
+	parts := r.term.Map()
+	for _, m := range rooms {
+		if !slices.ContainsFunc(queues, func(q *queue) bool { return r.first(m, q) != nil }) {
 			continue
 		}
-		if !r.take(m, m.pick) {
-			r.choose(m, queues, now)
-			continue
+		owner := parts.Owner(m.h.Name)
+		if offers[owner] == nil {
+			offers[owner] = &placement.Offer{Queues: cloneQueues(qs)}
 		}
-		n++
-		// What a claim changes for the other rooms (a guarantee used up, a
-		// zone filled) is looked at when their turn comes.
-		for _, o := range rooms {
-			o.stale = o.stale || o.pick != nil
+		pr := placement.Room{
+			Host: m.h.Name, Flavor: m.h.Flavor, Zone: m.h.Zone, Loaners: m.h.Loaners,
+			Cores: m.cores, Accel: m.accel, RAM: m.ram, Total: m.t.Cores, Pull: m.t.PullRate,
 		}
-		m.stale = false
-		r.choose(m, queues, now)
+		for _, im := range m.h.Images {
+			pr.Images = append(pr.Images, im.Bundle)
+		}
+		if m.held != nil {
+			pr.Held, pr.HeldTier = m.held.Ref, r.tier(m.held)
+		}
+		offers[owner].Rooms = append(offers[owner].Rooms, pr)
 	}
+	return offers
+}
+
+// cloneQueues copies what picking changes: each owner picks as if alone, and
+// the ledger confirms the best of all picks.
+func cloneQueues(qs []placement.Queue) []placement.Queue {
+	out := slices.Clone(qs)
+	for i := range out {
+		out[i].Jobs = slices.Clone(out[i].Jobs)
+		for k := range out[i].Jobs {
+			out[i].Jobs[k].Zones = maps.Clone(out[i].Jobs[k].Zones)
+		}
+	}
+	return out
+}
+
+// waiting describes a job to the owners.
+func (r *reign) waiting(j *ledger.Job, rooms []*room, now time.Time) placement.Waiting {
+	s := &j.Spec
+	w := placement.Waiting{
+		Ref: j.Ref, Tasks: j.WaitingTasks(), Tier: r.tier(j), Age: now.Sub(j.WaitingSince),
+		Cores: s.Cores, Accel: s.Accel, RAM: s.RAM, Bundle: s.Bundle, SizeGB: s.SizeGB,
+		Standing: s.Shape == wire.Standing, Loaners: s.Loaners, Flavors: s.Flavors,
+		Avoid: slices.Sorted(maps.Keys(j.FailedOn)),
+	}
+	if j.Gang() {
+		w.Tasks = 0 // the leader starts gangs itself, whole
+	}
+	w.Tasks = min(w.Tasks, r.led.Headroom(j))
+	if s.Locale != "" || s.Scatter || s.SamePlace {
+		w.Zones = make(map[string]int)
+		for _, m := range rooms {
+			w.Zones[m.h.Zone] = r.led.ZoneRoom(j, m.h.Zone)
+		}
+	}
+	return w
 }
 
 // take claims the job's next task for a room.
@@ -104,25 +201,13 @@
 	}
 	m.h.Idle = time.Time{}
 	m.h.Used(j.Spec.Bundle, j.Spec.SizeGB, m.t.LocalGB)
-	r.log.Debug("claim", "task", c.Task(), "try", c.Try, "host", c.Host, "weight", m.cand.Weight)
+	r.log.Debug("claim", "task", c.Task(), "try", c.Try, "host", c.Host)
 	m.cores -= j.Spec.Cores
 	m.accel -= j.Spec.Accel
 	m.ram -= j.Spec.RAM
 	return true
 }
 
-// sooner tells whether room a goes before room b: by what it would take, then
-// by how well it suits it.
-func sooner(a, b *room) bool {
-	if a.cand.Tier != b.cand.Tier {
-		return a.cand.Tier < b.cand.Tier
-	}
-	if a.cost != b.cost {
-		return a.cost < b.cost
-	}
-	return a.cand.Weight > b.cand.Weight
-}
-
 // queues groups waiting jobs by type, each in the order its tasks go.
 func (r *reign) queues(now time.Time) []*queue {
 	byName := make(map[string]*queue)
@@ -202,36 +287,6 @@
 
 const slack = 1e-6
 
-// choose finds what a room takes next, by the rule.
-func (r *reign) choose(m *room, queues []*queue, now time.Time) {
-	m.pick = nil
-	var cands []placement.Candidate
-	var jobs []*ledger.Job
-	for _, q := range queues {
-		j := r.first(m, q)
-		if j == nil {
-			continue
-		}
-		tier := r.tier(j)
-		if m.held != nil && m.held != j && tier >= r.tier(m.held) {
-			continue
-		}
-		cands = append(cands, placement.Candidate{
-			Type: q.name, Tier: tier, Age: now.Sub(j.WaitingSince),
-			Weight: r.table.Weight(q.count, placement.Arm{Type: q.name, Machine: m.h.Flavor}, now),
-			Image:  m.h.HasImage(j.Spec.Bundle),
-		})
-		jobs = append(jobs, j)
-	}
-	op := r.set.Operator.Placement
-	i := placement.Pick(cands, time.Duration(op.WaitAge*float64(r.set.Lease())), op.NearTie)
-	if i < 0 {
-		return
-	}
-	m.pick, m.cand = jobs[i], cands[i]
-	m.cost = r.cost(m, jobs[i])
-}
-
 // first is the type's first job whose next task fits the room.
 func (r *reign) first(m *room, q *queue) *ledger.Job {
 	for _, j := range q.jobs {
@@ -272,25 +327,6 @@
 	return rankOf("idle") + 1 + rankOf(j.Spec.Rank)
 }
 
-// cost says how well a room suits a job, in seconds: the fetch of its image,
-// then a firm machine taken by work that could run on a spot one, then room
-// left over that is of less use.
-func (r *reign) cost(m *room, j *ledger.Job) float64 {
-	c := 0.0
-	if !m.h.HasImage(j.Spec.Bundle) && m.t.PullRate > 0 {
-		c += j.Spec.SizeGB / m.t.PullRate
-	}
-	if j.Spec.Loaners && !m.h.Loaners {
-		c += r.set.Facts.Workers.ReportS
-	}
-	left := (m.cores - j.Spec.Cores) / m.t.Cores
-	if j.Spec.Shape == wire.Standing {
-		// Small machines first: large tasks have no use for them.
-		return c + 0.1*left + 0.01*m.t.Cores
-	}
-	return c + 0.1*left
-}
-
 // rankOf orders ranks.
 func rankOf(rank string) int {
 	switch rank {
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -9,6 +9,7 @@
 
 	"rillflow/internal/agent"
 	"rillflow/internal/fleet"
+	"rillflow/internal/lead"
 	"rillflow/internal/wire"
 )
 
@@ -26,9 +27,6 @@
 		r.mu.Lock()
 		now := r.now()
 		r.expire(now)
-		if n%32 == 0 {
-			r.table.Trim(now)
-		}
 		deaf := r.deaf(now)
 		var poll []*agent.Host
 		if n%6 == 3 {
@@ -48,12 +46,12 @@
 }
 
 // expire frees the claims of hosts whose lease is surely over: the worker had
-// seen this leader's epoch, so nobody else can have renewed it, and it was
-// last answered more than a lease ago by the slowest of clocks.
+// seen an epoch since which nobody else may answer it, and it was last answered
+// more than a lease ago by the slowest of clocks.
 func (r *reign) expire(now time.Time) {
 	over := r.set.Lease() + r.set.Lease()/500 + r.set.Report()/3
 	for _, h := range r.hosts {
-		if h.Heard.IsZero() || h.Epoch < r.term.First || now.Sub(h.Heard) < over {
+		if h.Heard.IsZero() || h.Sole == 0 || h.Epoch < h.Sole || now.Sub(h.Heard) < over {
 			continue
 		}
 		for _, c := range r.led.OnHost(h.Name) {
@@ -81,7 +79,8 @@
 	return up >= 4 && now.Sub(r.heard) > quiet
 }
 
-// strangers are hosts that are up but have not come to this leader yet.
+// strangers are hosts that are up but have not come to this leader yet, or stay
+// with a node that no longer owns them.
 func (r *reign) strangers(now time.Time) []*agent.Host {
 	var hs []*agent.Host
 	for _, l := range r.listed {
@@ -89,7 +88,9 @@
 			continue
 		}
 		h := r.host(l.Ref)
-		if h.Heard.IsZero() && now.Sub(r.began) > r.set.Report()/2 && len(hs) < 16 {
+		strange := h.Heard.IsZero() && now.Sub(r.began) > r.set.Report()/2 ||
+			!h.Heard.IsZero() && now.Sub(h.Heard) > 3*r.set.Report()/2 && h.Epoch < r.term.Epoch()
+		if strange && len(hs) < 16 {
 			h.Address, h.Flavor, h.Zone, h.Loaners = l.Address, l.Flavor, l.Locale, l.Loaners
 			hs = append(hs, h)
 		}
@@ -110,7 +111,7 @@
 	r.mu.Lock()
 	r.report(rep)
 	r.mu.Unlock()
-	if rep.Epoch < r.term.First {
+	if rep.Epoch < r.term.Epoch() {
 		rep, _, err = r.direct.Do(ctx, addr, wire.Orders{Epoch: r.term.Epoch(), Tenure: rep.Tenure, Orders: []wire.Order{}})
 		if err == nil {
 			r.mu.Lock()
@@ -370,3 +371,23 @@
 	}
 	return n
 }
+
+// watchParts has the hosts parted anew when a node comes or goes, and hands
+// over when the state service refuses this node alone.
+func (r *reign) watchParts(ctx context.Context) error {
+	for sleep(ctx, r.set.Report()/6) {
+		if m := r.el.Known(); m.Epoch > r.term.Epoch() && m.Leader != r.set.Node {
+			return fmt.Errorf("%w: %s leads under epoch %d", lead.ErrDeposed, m.Leader, m.Epoch)
+		}
+		if node, alone := r.parts.Alone(); alone {
+			why := "the state service serves " + node + " but not this node"
+			r.el.Resign(r.set.Lease()/4, why)
+			return errors.New(why)
+		}
+		have := r.term.Map().Parts
+		if !slices.Equal(have, r.parts.Fit(have)) {
+			kick(r.raises)
+		}
+	}
+	return ctx.Err()
+}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -6,7 +6,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"rillflow/internal/ledger"
-	"rillflow/internal/placement"
 )
 
 // latencies keeps how long things took, in milliseconds.
@@ -49,7 +48,6 @@
 	Claims int              `json:"claims"`
 	Hosts  []HostView       `json:"hosts"`
 	Queues []QueueView      `json:"queues"`
-	Rates  []placement.Row  `json:"rates"`
 	Start  map[string]int64 `json:"start_ms"`
 }
 
@@ -80,7 +78,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	v := &View{Epoch: r.term.Epoch(), Jobs: len(r.led.Jobs()), Rates: r.table.Rows(now), Start: map[string]int64{}}
+	v := &View{Epoch: r.term.Epoch(), Jobs: len(r.led.Jobs()), Start: map[string]int64{}}
 	for _, h := range r.sortedHosts() {
 		hv := HostView{Name: h.Name, Flavor: h.Flavor, Zone: h.Zone, Loaners: h.Loaners, Claims: len(r.led.OnHost(h.Name)), Bad: r.badHost(h), SilentS: -1}
 		if !h.Heard.IsZero() {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -27,14 +27,14 @@
 	set    *settings.Settings
 	st     *state.Client
 	types  *fleet.Catalogue
-	counts func(ref string) (done, running int, ok bool)
+	counts func(ctx context.Context, ref string) (done, running int, ok bool)
 	log    *slog.Logger
 	now    func() time.Time
 	ended  *memory
 }
 
 // New makes the users' side. counts tells a live job's counts where known.
-func New(set *settings.Settings, st *state.Client, types *fleet.Catalogue, counts func(string) (int, int, bool), log *slog.Logger) *Users {
+func New(set *settings.Settings, st *state.Client, types *fleet.Catalogue, counts func(context.Context, string) (int, int, bool), log *slog.Logger) *Users {
 	return &Users{set: set, st: st, types: types, counts: counts, log: log, now: time.Now, ended: newMemory(4096)}
 }
 
@@ -169,7 +169,7 @@
 	_, err := u.st.Get(ctx, ledger.LiveKey(ref))
 	if err == nil {
 		p := wire.Phase{Ref: ref, Phase: wire.Queued}
-		if done, running, ok := u.counts(ref); ok {
+		if done, running, ok := u.counts(ctx, ref); ok {
 			p.Done, p.Running = &done, &running
 			if running > 0 {
 				p.Phase = wire.Running
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"log/slog"
 	"sync"
 	"time"
@@ -28,8 +29,33 @@
 	Epoch uint64 `json:"epoch"`
 }
 
-type epochValue struct {
-	N uint64 `json:"n"`
+// Map says who acts under an epoch: who leads, and among whom the hosts are
+// parted.
+type Map struct {
+	Epoch  uint64   `json:"n"`
+	Leader string   `json:"leader"`
+	Parts  []string `json:"parts"`
+}
+
+// Owner is the node that answers a host's reports, by rendezvous hashing: when
+// a node comes or goes, only the hosts that it gains or loses move.
+func (m Map) Owner(host string) string {
+	best, top := "", uint64(0)
+	for _, n := range m.Parts {
+		h := fnv.New64a()
+		h.Write([]byte(n))
+		h.Write([]byte{0})
+		h.Write([]byte(host))
+		// FNV alone leaves like names alike in the high bits: mix them.
+		v := h.Sum64()
+		v ^= v >> 33
+		v *= 0xff51afd7ed558ccd
+		v ^= v >> 33
+		if best == "" || v > top || v == top && n < best {
+			best, top = n, v
+		}
+	}
+	return best
 }
 
 // ErrDeposed says that the leadership is over.
@@ -43,8 +69,9 @@
 	stamp  uint64 // of the leader key
 	ticket uint64
 
+	el         *Elector
 	mu         sync.Mutex
-	epoch      uint64
+	now        Map
 	epochStamp uint64
 	until      time.Time // the grant lasts until then at least
 }
@@ -71,7 +98,14 @@
 func (t *Term) Epoch() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.epoch
+	return t.now.Epoch
+}
+
+// Map is the term's present part map.
+func (t *Term) Map() Map {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.now
 }
 
 // Guard is the condition that every write of the leader carries.
@@ -87,13 +121,13 @@
 	return false
 }
 
-// Raise moves the term to the next epoch, so that workers that see it refuse
-// whatever was sent before.
-func (t *Term) Raise(ctx context.Context) error {
+// Raise moves the term to the next epoch, with the hosts parted among the nodes
+// given, so that workers that see it refuse whatever was sent before.
+func (t *Term) Raise(ctx context.Context, parts []string) error {
 	t.mu.Lock()
-	n, stamp := t.epoch+1, t.epochStamp
+	next, stamp := Map{t.now.Epoch + 1, t.now.Leader, parts}, t.epochStamp
 	t.mu.Unlock()
-	data, err := json.Marshal(epochValue{n})
+	data, err := json.Marshal(next)
 	if err != nil {
 		return err
 	}
@@ -113,34 +147,98 @@
 		if err != nil {
 			return err
 		}
-		var v epochValue
-		if err := json.Unmarshal(it.Data, &v); err != nil {
+		if err := json.Unmarshal(it.Data, &next); err != nil {
 			return err
 		}
-		n, gen = v.N, it.Stamp
+		gen = it.Stamp
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.epoch, t.epochStamp = n, gen
+	t.now, t.epochStamp = next, gen
+	t.mu.Unlock()
+	t.el.Learn(next)
 	return nil
 }
 
 // Elector runs for leader and follows who leads.
 type Elector struct {
-	st   *state.Client
-	node string
-	life time.Duration
-	log  *slog.Logger
+	st    *state.Client
+	node  string
+	life  time.Duration
+	parts func() []string // whom to part the hosts among
+	log   *slog.Logger
 
 	mu     sync.Mutex
 	leader string
+	known  Map
 	rest   time.Time // not a candidate before this
 	resign context.CancelCauseFunc
 }
 
-// New makes an elector whose grants live as long as given.
-func New(st *state.Client, node string, life time.Duration, log *slog.Logger) *Elector {
-	return &Elector{st: st, node: node, life: life, log: log}
+// New makes an elector whose grants live as long as given. parts tells whom a
+// new leader parts the hosts among.
+func New(st *state.Client, node string, life time.Duration, parts func() []string, log *slog.Logger) *Elector {
+	return &Elector{st: st, node: node, life: life, parts: parts, log: log}
+}
+
+// Known is the latest map that this node knows of.
+func (e *Elector) Known() Map {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.known
+}
+
+// Learn takes in a map, from the state service or a peer; an older one than is
+// known changes nothing.
+func (e *Elector) Learn(m Map) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if m.Epoch > e.known.Epoch {
+		e.known = m
+		e.log.Info("part map", "epoch", m.Epoch, "leader", m.Leader, "parts", m.Parts)
+	}
+}
+
+// Follow keeps to the latest map in the state service until ctx ends.
+func (e *Elector) Follow(ctx context.Context) error {
+	var after uint64
+	for try := 0; ctx.Err() == nil; {
+		var err error
+		if after == 0 {
+			var it wire.Item
+			if it, err = e.st.Get(ctx, epochKey); err == nil {
+				err = e.learn(it.Data)
+				after = it.Stamp
+			}
+		} else {
+			var log wire.ChangeLog
+			if log, err = e.st.Watch(ctx, epochKey, after, 4*e.life); err == nil {
+				after = max(after, log.Generation)
+				for _, c := range log.Log {
+					if c.Put == epochKey {
+						err = errors.Join(err, e.learn(c.Data))
+					}
+				}
+			} else if errors.Is(err, state.ErrTooOld) {
+				after = 0
+			}
+		}
+		if err != nil {
+			state.Backoff(ctx, try, e.life/16, e.life/2)
+			try++
+			continue
+		}
+		try = 0
+	}
+	return ctx.Err()
+}
+
+func (e *Elector) learn(data []byte) error {
+	var m Map
+	if err := json.Unmarshal(data, &m); err != nil {
+		return err
+	}
+	e.Learn(m)
+	return nil
 }
 
 // Leader is the node that leads, as far as this one knows, or "".
@@ -224,7 +322,7 @@
 }
 
 func (e *Elector) take(ctx context.Context) (*Term, uint64, error) {
-	var ev epochValue
+	var ev Map
 	var stamp uint64
 	it, err := e.st.Get(ctx, epochKey)
 	if err == nil {
@@ -239,9 +337,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	n := ev.N + 1
-	lv, err1 := json.Marshal(leaderValue{e.node, n})
-	nv, err2 := json.Marshal(epochValue{n})
+	next := Map{Epoch: ev.Epoch + 1, Leader: e.node, Parts: e.parts()}
+	lv, err1 := json.Marshal(leaderValue{e.node, next.Epoch})
+	nv, err2 := json.Marshal(next)
 	if err := errors.Join(err1, err2); err != nil {
 		return nil, 0, err
 	}
@@ -250,7 +348,8 @@
 		Apply:  []wire.Change{{Put: leaderKey, Data: lv, Ticket: ticket}, {Put: epochKey, Data: nv}},
 	})
 	if err == nil && len(failed) == 0 {
-		t := &Term{First: n, st: e.st, stamp: gen, ticket: ticket, epoch: n, epochStamp: gen}
+		t := &Term{First: next.Epoch, st: e.st, el: e, stamp: gen, ticket: ticket, now: next, epochStamp: gen}
+		e.Learn(next)
 		t.lasts(sent, e.life)
 		return t, 0, nil
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -309,6 +309,34 @@
 	return nil
 }
 
+// Headroom is how many more tasks of the job its team's limit allows.
+func (l *Ledger) Headroom(j *Job) int {
+	t, u := l.teams[j.Spec.Owner], l.usage[j.Spec.Owner]
+	if u == nil {
+		return 0
+	}
+	n := j.Spec.Members
+	if j.Spec.Cores > 0 {
+		n = min(n, int((t.CPUsMax-u.CPUs+slack)/j.Spec.Cores))
+	}
+	if j.Spec.Accel > 0 {
+		n = min(n, int((t.GPUsMax-u.GPUs+slack)/j.Spec.Accel))
+	}
+	return n
+}
+
+// ZoneRoom is how many more tasks of the job a zone may take.
+func (l *Ledger) ZoneRoom(j *Job, zone string) int {
+	n := j.Spec.Members
+	if j.Spec.Locale != "" && j.Spec.Locale != zone || j.Spec.SamePlace && len(j.claims) > j.zones[zone] {
+		return 0
+	}
+	if j.Spec.Scatter {
+		n = (j.Spec.Members+1)/2 - j.zones[zone]
+	}
+	return n
+}
+
 // MayAll tells whether all waiting tasks of a gang are within its team's limit,
 // and none of an earlier start is left.
 func (l *Ledger) MayAll(j *Job) bool {
--- /dev/null
+++ b/internal/part/part.go
@@ -0,0 +1,202 @@
+// Package part is the duty of a host's owner: it answers the reports of the
+// hosts in its part, keeps what their finishes teach, and picks by the rule
+// when the leader offers it their free rooms.
+package part
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"rillflow/internal/agent"
+	"rillflow/internal/control"
+	"rillflow/internal/lead"
+	"rillflow/internal/peer"
+	"rillflow/internal/placement"
+	"rillflow/internal/settings"
+	"rillflow/internal/wire"
+)
+
+// Leader is the leader's side, on this node while it leads.
+type Leader interface {
+	Beat(ctx context.Context, r *wire.Report) (wire.Orders, []agent.Finish, error)
+}
+
+// Links are the links to the other nodes.
+type Links interface {
+	Beat(ctx context.Context, node string, r *wire.Report) (peer.BeatAnswer, error)
+	Pick(ctx context.Context, node string, o *placement.Offer) ([]placement.Picked, error)
+	Peers() map[string]peer.Status
+}
+
+// Part is this node's part.
+type Part struct {
+	set   *settings.Settings
+	known func() lead.Map
+	links Links
+	stale func() time.Duration // since the state service answered here
+	now   func() time.Time
+	tune  placement.Tuning
+
+	mu    sync.Mutex
+	table *placement.Table
+	fed   int
+}
+
+// New makes the part. known tells the latest part map, stale since when the
+// state service has not answered.
+func New(set *settings.Settings, known func() lead.Map, stale func() time.Duration, now func() time.Time) *Part {
+	op := set.Operator.Placement
+	return &Part{
+		set: set, known: known, stale: stale, now: now,
+		tune: placement.Tuning{
+			Aged:    time.Duration(op.WaitAge * float64(set.Lease())),
+			NearTie: op.NearTie,
+			Firm:    set.Facts.Workers.ReportS,
+		},
+		table: placement.NewTable(placement.Params{
+			Horizon: op.Horizon, Bonus: op.Bonus, RunBound: op.RunBound,
+			Tick: time.Duration(op.Tick * float64(set.Report())),
+		}, now()),
+	}
+}
+
+// Link gives the part its links, which in turn need what the part serves.
+func (p *Part) Link(l Links) { p.links = l }
+
+// ErrNotOwner: this node may not answer the host. Steward names who may, or is
+// empty.
+type ErrNotOwner struct{ Steward string }
+
+func (e ErrNotOwner) Error() string { return "part: not the owner; steward " + e.Steward }
+
+// Beat answers a worker's report.
+func (p *Part) Beat(ctx context.Context, r *wire.Report, leader Leader) (wire.Orders, error) {
+	m := p.known()
+	if r.Epoch > m.Epoch {
+		// The worker knows more than this node: an answer would be dropped
+		// and hold the worker here while its lease runs out.
+		return wire.Orders{}, ErrNotOwner{}
+	}
+	if owner := m.Owner(r.Host); owner != p.set.Node {
+		return wire.Orders{}, ErrNotOwner{owner}
+	}
+	if m.Leader == p.set.Node {
+		out, _, err := leader.Beat(ctx, r)
+		if err != nil {
+			return wire.Orders{}, ErrNotOwner{}
+		}
+		return out, nil
+	}
+	actx, cancel := context.WithTimeout(ctx, p.set.Report()/3)
+	defer cancel()
+	a, err := p.links.Beat(actx, m.Leader, r)
+	if err == nil && a.OK {
+		for _, f := range a.Learned {
+			p.Learn(f)
+		}
+		return a.Orders, nil
+	}
+	if err == nil || ctx.Err() != nil {
+		return wire.Orders{}, ErrNotOwner{}
+	}
+	// The leader cannot be asked. The worker's tasks run on, under the epoch
+	// that stands: a leader that could hear this host has the map without
+	// this node, and its epoch shows in the worker's next report.
+	if now := p.known(); now.Epoch != m.Epoch {
+		return wire.Orders{}, ErrNotOwner{now.Owner(r.Host)}
+	}
+	return wire.Orders{Epoch: m.Epoch, Orders: []wire.Order{}}, nil
+}
+
+// Learn takes in a finish.
+func (p *Part) Learn(f agent.Finish) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Finish(placement.Arm{Type: f.Type, Machine: f.Flavor}, f.Run, p.now())
+	if p.fed++; p.fed%256 == 0 {
+		p.table.Trim(p.now())
+	}
+}
+
+// Choose picks for rooms of this part.
+func (p *Part) Choose(o placement.Offer) []placement.Picked {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Choose(o, p.tune, p.now())
+}
+
+// Rows shows what was learned.
+func (p *Part) Rows() []placement.Row {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Rows(p.now())
+}
+
+// Pick has a part's owner pick: this node itself, or a peer.
+func (p *Part) Pick(ctx context.Context, node string, o placement.Offer) ([]placement.Picked, error) {
+	if node == p.set.Node {
+		return p.Choose(o), nil
+	}
+	return p.links.Pick(ctx, node, &o)
+}
+
+// Fit are the nodes that may own a part: this one, and the peers that are
+// linked and that the state service does not refuse while it serves others. A
+// node that comes back waits a little, so that hosts do not move to and fro.
+func (p *Part) Fit(have []string) []string {
+	fit := []string{p.set.Node}
+	for n, s := range p.links.Peers() {
+		settled := slices.Contains(have, n) || p.now().Sub(s.Since) > 2*p.set.Report() || len(have) == 0
+		if s.Live && settled && (s.StateAge < refused(p.set) || p.stale() > p.set.Report()/2) {
+			fit = append(fit, n)
+		}
+	}
+	slices.Sort(fit)
+	return fit
+}
+
+// refused is how long without an answer the state service counts as refusing.
+func refused(set *settings.Settings) time.Duration { return 5 * set.Report() / 4 }
+
+// Alone tells whether the state service refuses this node while it serves a
+// linked peer, and names such a peer. When all are refused it is an outage,
+// which must be sat out.
+func (p *Part) Alone() (string, bool) {
+	if p.stale() < refused(p.set) {
+		return "", false
+	}
+	for n, s := range p.links.Peers() {
+		// Every node asks it at least twice in a report interval, so one
+		// that is served shows a fresh answer before long, and one that is
+		// not cannot.
+		if s.Live && s.StateAge < p.set.Report()/3 {
+			return n, true
+		}
+	}
+	return "", false
+}
+
+// Linked tells whether any peer is linked.
+func (p *Part) Linked() bool {
+	for _, s := range p.links.Peers() {
+		if s.Live {
+			return true
+		}
+	}
+	return false
+}
+
+// Refused tells whether the state service has not answered for long.
+func (p *Part) Refused() bool { return p.stale() >= refused(p.set) }
+
+var _ Leader = (*control.Control)(nil)
+
+// AsNotOwner takes an ErrNotOwner out of an error.
+func AsNotOwner(err error) (ErrNotOwner, bool) {
+	var e ErrNotOwner
+	ok := errors.As(err, &e)
+	return e, ok
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,363 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"rillflow/internal/placement"
+	"rillflow/internal/settings"
+	"rillflow/internal/state"
+	"rillflow/internal/wire"
+)
+
+// Handler serves what peers ask.
+type Handler interface {
+	Ping() Ping
+	Pinged(Ping)
+	Beat(ctx context.Context, r *wire.Report) BeatAnswer
+	Pick(o placement.Offer) []placement.Picked
+	User(ctx context.Context, r UserRequest) UserAnswer
+	Counts(ref string) Counts
+}
+
+// Errors of a request to a peer.
+var (
+	ErrDown    = errors.New("peer: not connected")
+	ErrRefused = errors.New("peer: refused")
+)
+
+// Mesh is this node's links to all others.
+type Mesh struct {
+	h     Handler
+	every time.Duration // between pings
+	links map[string]*Link
+	log   *slog.Logger
+	slots chan struct{} // bounds requests served at once
+}
+
+// NewMesh makes the links; nothing is dialled before Run.
+func NewMesh(members []settings.Member, h Handler, every time.Duration, slots int, log *slog.Logger) *Mesh {
+	m := &Mesh{h: h, every: every, links: make(map[string]*Link), log: log, slots: make(chan struct{}, max(1, slots))}
+	for _, p := range members {
+		m.links[p.Node] = &Link{node: p.Node, addr: p.Endpoint, every: every, pending: make(map[uint64]chan frame)}
+	}
+	return m
+}
+
+// Run keeps the links and serves peers on ln until ctx ends.
+func (m *Mesh) Run(ctx context.Context, ln net.Listener) error {
+	g, gctx := errgroup.WithContext(ctx)
+	g.Go(func() error { <-gctx.Done(); return ln.Close() })
+	for _, l := range m.links {
+		g.Go(func() error { return l.run(gctx, m.h) })
+	}
+	g.Go(func() error {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				if gctx.Err() != nil {
+					return gctx.Err()
+				}
+				state.Backoff(gctx, 0, m.every, m.every)
+				continue
+			}
+			g.Go(func() error { m.serve(gctx, c); return nil })
+		}
+	})
+	return g.Wait()
+}
+
+// Status is how a peer stood at its last ping.
+type Status struct {
+	Ping
+	Live  bool      // answered lately
+	Since time.Time // live without a break since
+}
+
+// Peers tells how all peers stand.
+func (m *Mesh) Peers() map[string]Status {
+	out := make(map[string]Status, len(m.links))
+	for n, l := range m.links {
+		out[n] = l.status()
+	}
+	return out
+}
+
+// Beat passes a worker's report on to the leader.
+func (m *Mesh) Beat(ctx context.Context, node string, r *wire.Report) (BeatAnswer, error) {
+	b, err := m.ask(ctx, node, kindBeat, encodeReport(r))
+	if err != nil {
+		return BeatAnswer{}, err
+	}
+	return decodeBeatAnswer(b)
+}
+
+// Pick asks a part's owner to pick.
+func (m *Mesh) Pick(ctx context.Context, node string, o *placement.Offer) ([]placement.Picked, error) {
+	b, err := m.ask(ctx, node, kindOffer, encodeOffer(o))
+	if err != nil {
+		return nil, err
+	}
+	return decodePicks(b)
+}
+
+// User passes a user's request on.
+func (m *Mesh) User(ctx context.Context, node string, r UserRequest) (UserAnswer, error) {
+	b, err := m.ask(ctx, node, kindUser, r.encode())
+	if err != nil {
+		return UserAnswer{}, err
+	}
+	return decodeUserAnswer(b)
+}
+
+// Counts asks the leader for a job's counts.
+func (m *Mesh) Counts(ctx context.Context, node, ref string) (Counts, error) {
+	b, err := m.ask(ctx, node, kindCounts, []byte(ref))
+	if err != nil {
+		return Counts{}, err
+	}
+	return decodeCounts(b)
+}
+
+func (m *Mesh) ask(ctx context.Context, node string, k kind, body []byte) ([]byte, error) {
+	l := m.links[node]
+	if l == nil {
+		return nil, fmt.Errorf("%w: %q", ErrDown, node)
+	}
+	return l.ask(ctx, k, body)
+}
+
+// serve answers one peer's requests.
+func (m *Mesh) serve(ctx context.Context, c net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	defer c.Close()
+	var mu sync.Mutex
+	r := bufio.NewReader(c)
+	for {
+		// A peer pings all the time: one that is silent is gone.
+		c.SetReadDeadline(time.Now().Add(16 * m.every))
+		f, err := readFrame(r)
+		if err != nil {
+			return
+		}
+		select {
+		case m.slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		go func() {
+			defer func() { <-m.slots }()
+			out := frame{kind: kindAnswer, id: f.id}
+			var err error
+			if out.body, err = m.answer(ctx, f); err != nil {
+				m.log.Debug("peer request", "kind", f.kind, "err", err)
+				out = frame{kind: kindRefuse, id: f.id}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			c.SetWriteDeadline(time.Now().Add(4 * m.every))
+			if writeFrame(c, out) != nil {
+				c.Close()
+			}
+		}()
+	}
+}
+
+func (m *Mesh) answer(ctx context.Context, f frame) ([]byte, error) {
+	switch f.kind {
+	case kindPing:
+		p, err := decodePing(f.body)
+		if err != nil {
+			return nil, err
+		}
+		m.h.Pinged(p)
+		own := m.h.Ping()
+		return own.encode(), nil
+	case kindBeat:
+		r, err := decodeReport(f.body)
+		if err != nil {
+			return nil, err
+		}
+		a := m.h.Beat(ctx, r)
+		return a.encode(), nil
+	case kindOffer:
+		o, err := decodeOffer(f.body)
+		if err != nil {
+			return nil, err
+		}
+		return encodePicks(m.h.Pick(o)), nil
+	case kindUser:
+		r, err := decodeUserRequest(f.body)
+		if err != nil {
+			return nil, err
+		}
+		a := m.h.User(ctx, r)
+		return a.encode(), nil
+	case kindCounts:
+		c := m.h.Counts(string(f.body))
+		return c.encode(), nil
+	}
+	return nil, fmt.Errorf("%w: kind %d", ErrFormat, f.kind)
+}
+
+// Link is the connection that this node dialled to another.
+type Link struct {
+	node, addr string
+	every      time.Duration
+
+	mu      sync.Mutex
+	conn    net.Conn
+	next    uint64
+	pending map[uint64]chan frame
+	last    Ping
+	at      time.Time // of the last answered ping
+	since   time.Time
+
+	write sync.Mutex
+}
+
+func (l *Link) status() Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Status{Ping: l.last, Live: !l.at.IsZero() && time.Since(l.at) < 3*l.every, Since: l.since}
+}
+
+// run dials, pings, and dials again.
+func (l *Link) run(ctx context.Context, h Handler) error {
+	d := net.Dialer{Timeout: 2 * l.every}
+	for try := 0; ctx.Err() == nil; {
+		c, err := d.DialContext(ctx, "tcp", l.addr)
+		if err != nil {
+			state.Backoff(ctx, try, l.every, 4*l.every)
+			try++
+			continue
+		}
+		try = 0
+		l.mu.Lock()
+		l.conn = c
+		l.mu.Unlock()
+		cctx, cancel := context.WithCancel(ctx)
+		stop := context.AfterFunc(cctx, func() { c.Close() })
+		go func() {
+			defer cancel()
+			l.read(c)
+		}()
+		l.ping(cctx, h)
+		cancel()
+		stop()
+		c.Close()
+		l.drop()
+	}
+	return ctx.Err()
+}
+
+// ping asks the peer how it stands until an answer fails to come.
+func (l *Link) ping(ctx context.Context, h Handler) {
+	for ctx.Err() == nil {
+		own := h.Ping()
+		pctx, cancel := context.WithTimeout(ctx, 3*l.every)
+		b, err := l.ask(pctx, kindPing, own.encode())
+		cancel()
+		if err != nil {
+			return
+		}
+		p, err := decodePing(b)
+		if err != nil {
+			return
+		}
+		l.mu.Lock()
+		now := time.Now()
+		if l.at.IsZero() || now.Sub(l.at) > 4*l.every {
+			l.since = now
+		}
+		l.last, l.at = p, now
+		l.mu.Unlock()
+		h.Pinged(p)
+		t := time.NewTimer(l.every)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (l *Link) read(c net.Conn) {
+	r := bufio.NewReader(c)
+	for {
+		f, err := readFrame(r)
+		if err != nil {
+			return
+		}
+		l.mu.Lock()
+		ch := l.pending[f.id]
+		delete(l.pending, f.id)
+		l.mu.Unlock()
+		if ch != nil {
+			ch <- f
+		}
+	}
+}
+
+// drop fails what still waits on a connection that is gone.
+func (l *Link) drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn = nil
+	for id, ch := range l.pending {
+		delete(l.pending, id)
+		close(ch)
+	}
+}
+
+func (l *Link) ask(ctx context.Context, k kind, body []byte) ([]byte, error) {
+	l.mu.Lock()
+	c := l.conn
+	if c == nil {
+		l.mu.Unlock()
+		return nil, ErrDown
+	}
+	l.next++
+	id := l.next
+	ch := make(chan frame, 1)
+	l.pending[id] = ch
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.pending, id)
+		l.mu.Unlock()
+	}()
+	l.write.Lock()
+	c.SetWriteDeadline(time.Now().Add(2 * l.every))
+	err := writeFrame(c, frame{kind: k, id: id, body: body})
+	l.write.Unlock()
+	if err != nil {
+		c.Close() // a frame may have gone out in part
+		return nil, fmt.Errorf("%w: %v", ErrDown, err)
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case f, ok := <-ch:
+		switch {
+		case !ok:
+			return nil, ErrDown
+		case f.kind == kindRefuse:
+			return nil, ErrRefused
+		case f.kind != kindAnswer:
+			return nil, ErrFormat
+		}
+		return f.body, nil
+	}
+}
--- /dev/null
+++ b/internal/serve/front.go
@@ -0,0 +1,171 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"rillflow/internal/agent"
+	"rillflow/internal/control"
+	"rillflow/internal/intake"
+	"rillflow/internal/lead"
+	"rillflow/internal/part"
+	"rillflow/internal/peer"
+	"rillflow/internal/placement"
+	"rillflow/internal/wire"
+)
+
+// routes are all requests at the front address.
+func (d *daemon) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", d.health)
+	mux.HandleFunc("POST /agent/beat", d.beat)
+	mux.HandleFunc("GET /operator/status", d.status)
+	mux.HandleFunc("/v1/jobs", d.user)
+	mux.HandleFunc("/v1/jobs/", d.user)
+	return mux
+}
+
+// health answers the load balancer. A node that the state service refuses is
+// of use while a peer can serve its users; one that no peer hears either is
+// cut off, and others serve better. When all are refused it is an outage: to
+// leave the balancer then would only make coming back slower.
+func (d *daemon) health(w http.ResponseWriter, _ *http.Request) {
+	if d.part.Refused() && len(d.set.Members) > 0 && !d.part.Linked() {
+		reply(w, http.StatusServiceUnavailable, wire.Error{Error: "cut off"})
+		return
+	}
+	reply(w, http.StatusOK, struct{}{})
+}
+
+// beat answers a worker's report, or says who may.
+func (d *daemon) beat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, agent.MaxBody))
+	var rep wire.Report
+	if err == nil {
+		err = json.Unmarshal(body, &rep)
+	}
+	if err != nil {
+		reply(w, http.StatusBadRequest, wire.Error{Error: "malformed report"})
+		return
+	}
+	out, err := d.part.Beat(r.Context(), &rep, d.control)
+	if err == nil {
+		reply(w, http.StatusOK, out)
+		return
+	}
+	if e, ok := part.AsNotOwner(err); ok && e.Steward != "" && e.Steward != d.set.Node {
+		reply(w, http.StatusMisdirectedRequest, wire.Steward{Steward: e.Steward})
+		return
+	}
+	reply(w, http.StatusServiceUnavailable, wire.Error{Error: "not entitled"})
+}
+
+// user serves a user's request here, or through a peer when the state service
+// refuses this node alone.
+func (d *daemon) user(w http.ResponseWriter, r *http.Request) {
+	node, alone := d.part.Alone()
+	if !alone {
+		d.users.ServeHTTP(w, r)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, intake.MaxBody))
+	if err != nil {
+		reply(w, http.StatusBadRequest, wire.Error{Error: "body too large or broken"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), d.set.Report()/2)
+	defer cancel()
+	a, err := d.mesh.User(ctx, node, peer.UserRequest{Method: r.Method, Path: r.URL.Path, Body: body})
+	if err != nil {
+		w.Header().Set("Retry-After", "1")
+		reply(w, http.StatusServiceUnavailable, wire.Error{Error: "state service"})
+		return
+	}
+	if a.RetryAfter != "" {
+		w.Header().Set("Retry-After", a.RetryAfter)
+	}
+	send(w, a.Status, a.Body)
+}
+
+// counts tells a live job's counts: the leader has them.
+func (d *daemon) counts(ctx context.Context, ref string) (done, running int, ok bool) {
+	if c, ok := d.control.Counts(ref); ok {
+		return c.Done, c.Running, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.set.Report()/12)
+	defer cancel()
+	c, err := d.mesh.Counts(ctx, d.el.Known().Leader, ref)
+	return c.Done, c.Running, err == nil && c.Known
+}
+
+// Ping, Pinged, Beat, Pick, User and Counts are what peers ask of this node.
+
+func (d *daemon) Ping() peer.Ping {
+	m := d.el.Known()
+	return peer.Ping{Node: d.set.Node, Epoch: m.Epoch, Leader: m.Leader, Parts: m.Parts, StateAge: d.st.SinceOK()}
+}
+
+func (d *daemon) Pinged(p peer.Ping) {
+	d.el.Learn(lead.Map{Epoch: p.Epoch, Leader: p.Leader, Parts: p.Parts})
+}
+
+func (d *daemon) Beat(ctx context.Context, r *wire.Report) peer.BeatAnswer {
+	out, learned, err := d.control.Beat(ctx, r)
+	return peer.BeatAnswer{OK: err == nil, Orders: out, Learned: learned}
+}
+
+func (d *daemon) Pick(o placement.Offer) []placement.Picked { return d.part.Choose(o) }
+
+func (d *daemon) Counts(ref string) peer.Counts {
+	c, ok := d.control.Counts(ref)
+	return peer.Counts{Known: ok, Done: c.Done, Running: c.Running}
+}
+
+func (d *daemon) User(ctx context.Context, r peer.UserRequest) peer.UserAnswer {
+	rec := &recorder{header: make(http.Header), status: http.StatusOK}
+	req, err := http.NewRequestWithContext(ctx, r.Method, r.Path, newBody(r.Body))
+	if err != nil {
+		return peer.UserAnswer{Status: http.StatusBadRequest, Body: []byte("{}")}
+	}
+	d.users.ServeHTTP(rec, req)
+	return peer.UserAnswer{Status: rec.status, RetryAfter: rec.header.Get("Retry-After"), Body: rec.body}
+}
+
+// Status is what the operator's status page tells.
+type Status struct {
+	Node     string                 `json:"node"`
+	Map      lead.Map               `json:"map"`
+	UpS      float64                `json:"up_s"`
+	StateS   float64                `json:"state_silent_s"`
+	Requests int64                  `json:"state_requests"`
+	Peers    map[string]peer.Status `json:"peers"`
+	Rates    []placement.Row        `json:"rates"`
+	Leading  *control.View          `json:"leading,omitempty"`
+}
+
+func (d *daemon) status(w http.ResponseWriter, _ *http.Request) {
+	reply(w, http.StatusOK, Status{
+		Node: d.set.Node, Map: d.el.Known(), UpS: time.Since(d.began).Seconds(),
+		StateS: d.st.SinceOK().Seconds(), Requests: d.st.Requests(), Peers: d.mesh.Peers(),
+		Rates: d.part.Rows(), Leading: d.control.View(),
+	})
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		status, b = http.StatusInternalServerError, []byte("{}")
+	}
+	send(w, status, b)
+}
+
+func send(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	w.Write(body)
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -82,6 +82,11 @@
 	return time.Since(c.start) - time.Duration(c.lastOK.Load())
 }
 
+// Probe asks for nothing in particular, to see whether the service answers.
+func (c *Client) Probe(ctx context.Context) {
+	c.Get(ctx, "probe")
+}
+
 // Requests counts what was sent.
 func (c *Client) Requests() int64 { return c.asked.Load() }
 
