--- a/internal/agent/host.go
+++ b/internal/agent/host.go
@@ -66,6 +66,7 @@
 type Image struct {
 	Bundle string
 	GB     float64
+	Coming bool // not fetched yet, as far as is known
 }
 
 // NewHost makes a host of which nothing was heard yet.
@@ -88,14 +89,27 @@
 
 // HasImage tells whether the host has an image, as far as its tasks showed.
 func (h *Host) HasImage(bundle string) bool {
-	return slices.ContainsFunc(h.Images, func(i Image) bool { return i.Bundle == bundle })
+	return slices.ContainsFunc(h.Images, func(i Image) bool { return i.Bundle == bundle && !i.Coming })
+}
+
+// Fetches notes that a task was placed whose image the machine must fetch.
+func (h *Host) Fetches(bundle string, gb float64) {
+	if !slices.ContainsFunc(h.Images, func(i Image) bool { return i.Bundle == bundle }) {
+		h.Images = slices.Insert(h.Images, 0, Image{bundle, gb, true})
+	}
+}
+
+// Abandons notes that no task waits for an image any more: its fetch is given
+// up.
+func (h *Host) Abandons(bundle string) {
+	h.Images = slices.DeleteFunc(h.Images, func(i Image) bool { return i.Bundle == bundle && i.Coming })
 }
 
 // Used notes that a task with an image runs: the machine has the image, and
 // drops those longest unused past its cache.
 func (h *Host) Used(bundle string, gb, cache float64) {
 	h.Images = slices.DeleteFunc(h.Images, func(i Image) bool { return i.Bundle == bundle })
-	h.Images = slices.Insert(h.Images, 0, Image{bundle, gb})
+	h.Images = slices.Insert(h.Images, 0, Image{bundle, gb, false})
 	sum := 0.0
 	for i, im := range h.Images {
 		if sum += im.GB; sum > cache && i > 0 {
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -97,6 +97,7 @@
 		h.Taint = 0 // commands carry the tenure: none of the old ones is executed now
 		for _, c := range r.led.OnHost(h.Name) {
 			if c.Tenure < rep.Tenure {
+				r.abandon(c, h)
 				r.lost(c, "new tenure")
 			}
 		}
@@ -173,9 +174,23 @@
 	r.log.Debug("started", "task", c.Task(), "host", h.Name, "wait_s", now.Sub(c.Job.WaitingSince).Seconds())
 }
 
+// abandon notes that a task went before it ran; with the last that waited for
+// its image the fetch goes too.
+func (r *reign) abandon(c *ledger.Held, h *agent.Host) {
+	for _, o := range r.led.OnHost(h.Name) {
+		if o != c && o.Job.Spec.Bundle == c.Job.Spec.Bundle {
+			return
+		}
+	}
+	h.Abandons(c.Job.Spec.Bundle)
+}
+
 // ended deals with a claimed task that its worker reports as ended.
 func (r *reign) ended(c *ledger.Held, h *agent.Host, cause string, now time.Time) {
 	j := c.Job
+	if c.Running.IsZero() {
+		r.abandon(c, h)
+	}
 	if j.Withdrawn {
 		r.led.Free(c, now)
 		return
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -148,7 +148,12 @@
 			Cores: m.cores, Accel: m.accel, RAM: m.ram, Total: m.t.Cores, Pull: m.t.PullRate,
 		}
 		for _, im := range m.h.Images {
-			pr.Images = append(pr.Images, im.Bundle)
+			if im.Coming {
+				pr.Coming = append(pr.Coming, im.Bundle)
+				pr.ComingGB += im.GB
+			} else {
+				pr.Images = append(pr.Images, im.Bundle)
+			}
 		}
 		if m.held != nil {
 			pr.Held, pr.HeldTier = m.held.Ref, r.tier(m.held)
@@ -180,6 +185,18 @@
 		Standing: s.Shape == wire.Standing, Loaners: s.Loaners, Flavors: s.Flavors,
 		Avoid: slices.Sorted(maps.Keys(j.FailedOn)),
 	}
+	for _, o := range r.set.Facts.Objectives {
+		if o.Kind == "wait" && o.Class == s.Class {
+			w.Within = o.WithinS
+		}
+	}
+	if w.Standing {
+		for _, m := range rooms {
+			if m.h.HasImage(s.Bundle) && m.fits(j) && !slices.Contains(w.Warm, m.h.Zone) {
+				w.Warm = append(w.Warm, m.h.Zone)
+			}
+		}
+	}
 	if j.Gang() {
 		w.Tasks = 0 // the leader starts gangs itself, whole
 	}
@@ -200,7 +217,7 @@
 		return false
 	}
 	m.h.Idle = time.Time{}
-	m.h.Used(j.Spec.Bundle, j.Spec.SizeGB, m.t.LocalGB)
+	m.h.Fetches(j.Spec.Bundle, j.Spec.SizeGB)
 	r.log.Debug("claim", "task", c.Task(), "try", c.Try, "host", c.Host)
 	m.cores -= j.Spec.Cores
 	m.accel -= j.Spec.Accel
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -129,6 +129,8 @@
 			e.float(f)
 		}
 		e.strs(r.Images)
+		e.strs(r.Coming)
+		e.float(r.ComingGB)
 		e.str(r.Held)
 		e.int(int64(r.HeldTier))
 	}
@@ -158,6 +160,8 @@
 				e.int(int64(n))
 			}
 			e.strs(w.Avoid)
+			e.float(w.Within)
+			e.strs(w.Warm)
 		}
 	}
 	return e.b
@@ -170,7 +174,8 @@
 		for _, f := range []*float64{&r.Cores, &r.Accel, &r.RAM, &r.Total, &r.Pull} {
 			*f = d.float()
 		}
-		r.Images, r.Held, r.HeldTier = d.strs(), d.str(), int(d.int())
+		r.Images, r.Coming, r.ComingGB = d.strs(), d.strs(), d.float()
+		r.Held, r.HeldTier = d.str(), int(d.int())
 		o.Rooms = append(o.Rooms, r)
 	}
 	for range d.items() {
@@ -192,7 +197,7 @@
 					w.Zones[z] = k
 				}
 			}
-			w.Avoid = d.strs()
+			w.Avoid, w.Within, w.Warm = d.strs(), d.float(), d.strs()
 			q.Jobs = append(q.Jobs, w)
 		}
 		o.Queues = append(o.Queues, q)
--- a/internal/placement/offer.go
+++ b/internal/placement/offer.go
@@ -20,9 +20,11 @@
 	Zone              string
 	Loaners           bool
 	Cores, Accel, RAM float64
-	Total             float64 // the machine's cores
-	Pull              float64 // image fetch rate, GB/s
-	Images            []string
+	Total             float64  // the machine's cores
+	Pull              float64  // image fetch rate, GB/s
+	Images            []string // fetched
+	Coming            []string // being fetched
+	ComingGB          float64
 	Held              string // kept for this job until it fits
 	HeldTier          int
 }
@@ -48,6 +50,8 @@
 	Flavors           []string
 	Zones             map[string]int // how many tasks each zone may take; nil: any
 	Avoid             []string       // hosts where it failed
+	Within            float64        // seconds in which its users want it started; 0: none stated
+	Warm              []string       // zones where a machine has its image and room
 }
 
 // Picked is one pick, a bid until the ledger confirms it.
@@ -129,8 +133,9 @@
 		r.Cores -= w.Cores
 		r.Accel -= w.Accel
 		r.RAM -= w.RAM
-		if !slices.Contains(r.Images, w.Bundle) {
-			r.Images = append(r.Images, w.Bundle)
+		if !slices.Contains(r.Images, w.Bundle) && !slices.Contains(r.Coming, w.Bundle) {
+			r.Coming = append(r.Coming, w.Bundle)
+			r.ComingGB += w.SizeGB
 		}
 		for i := range cs {
 			cs[i].stale = true
@@ -167,22 +172,41 @@
 	c.pick = Picked{Host: r.Host, Ref: c.job.Ref, Tier: cands[i].Tier, Weight: cands[i].Weight, Cost: c.job.cost(r, tune)}
 }
 
-// cost says how well a room suits a job, in seconds: the fetch of its image,
-// then a firm machine taken by work that could run on a spot one, then room
-// left over that is of less use.
+// fetch is how long the room's machine would fetch until the task can start.
+// Fetches share the rate.
+func (w *Waiting) fetch(r *Room) float64 {
+	switch {
+	case r.Pull <= 0 || slices.Contains(r.Images, w.Bundle):
+		return 0
+	case slices.Contains(r.Coming, w.Bundle):
+		return r.ComingGB / r.Pull
+	}
+	return (r.ComingGB + w.SizeGB) / r.Pull
+}
+
+// cost says how well a room suits a job: the lower the better.
 func (w *Waiting) cost(r *Room, tune Tuning) float64 {
+	left := r.Cores - w.Cores
 	c := 0.0
-	if r.Pull > 0 && !slices.Contains(r.Images, w.Bundle) {
-		c += w.SizeGB / r.Pull
-	}
-	if w.Loaners && !r.Loaners {
-		c += tune.Firm
-	}
 	if r.Total > 0 {
-		c += 0.1 * (r.Cores - w.Cores) / r.Total
+		c += 0.1 * left / r.Total
+	}
+	fetch := w.fetch(r)
+	if !w.Standing {
+		if w.Loaners && !r.Loaners {
+			c += tune.Firm
+		}
+		return c + fetch
 	}
-	if w.Standing {
-		c += 0.01 * r.Total // small machines first: large tasks have no use for them
+	// Replicas fill small machines first: large tasks have no use for them.
+	c += 0.01*r.Total + 0.05*fetch
+	if fetch > w.Within {
+		c++
+		// The start is late in any case. Where the zone has no machine with
+		// the image and room to spare, make this one it: for those to come.
+		if !slices.Contains(w.Warm, r.Zone) && w.Cores > 0 {
+			c -= min(1, left/(8*w.Cores))
+		}
 	}
 	return c
 }
