--- a/internal/agent/host.go
+++ b/internal/agent/host.go
@@ -43,10 +43,11 @@
 	// Learned are finishes that the host's owner has yet to be told.
 	Learned []Finish
 
-	Sulking time.Time // refused a launch for want of room: not before this
-	Errors  []string  // jobs whose tasks failed here since the last success
-	Idle    time.Time // since when nothing is on it
-	Wake    chan struct{}
+	Draining bool      // takes no new tasks, and goes once empty
+	Sulking  time.Time // refused a launch for want of room: not before this
+	Errors   []string  // jobs whose tasks failed here since the last success
+	Idle     time.Time // since when nothing is on it
+	Wake     chan struct{}
 }
 
 // Member is a task as a worker reported it.
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -10,6 +10,7 @@
 	"rillflow/internal/agent"
 	"rillflow/internal/fleet"
 	"rillflow/internal/lead"
+	"rillflow/internal/ledger"
 	"rillflow/internal/wire"
 )
 
@@ -141,15 +142,29 @@
 				r.log.Debug("machine list", "err", err)
 			}
 		}
+		r.adjust(ctx)
+		if !sleep(ctx, every) {
+			return ctx.Err()
+		}
+	}
+}
+
+// adjust returns what is faulty or idle, drains what is too much, and rents
+// what is needed, one request after the other: how much each brings shows only
+// in its answer.
+func (r *reign) adjust(ctx context.Context) {
+	for n := 0; n < 32 && r.term.Sure(r.now()); n++ {
 		r.mu.Lock()
 		now := r.now()
-		bad := r.faulty(now)
-		var rents []wire.Rent
-		var leave []string
+		var bad []string
+		if n == 0 {
+			bad = r.faulty(now)
+		}
+		var plan fleet.Plan
 		if types := r.types.Types(); types != nil && now.Sub(r.began) > r.set.Report() {
-			rents, leave = r.rents.Plan(types, r.machines(now), r.need(), now)
+			plan = r.rents.Plan(types, r.machines(now), r.need(), now)
 		}
-		for _, name := range leave {
+		for _, name := range plan.Leave {
 			// Not a host that was given a task since it was looked at.
 			if len(r.led.OnHost(name)) == 0 {
 				bad = append(bad, name)
@@ -162,20 +177,81 @@
 				r.gone[name] = time.Time{} // no new tasks from here on
 			}
 		}
+		r.drain(plan, now)
 		r.mu.Unlock()
-		if len(bad) > 0 && r.term.Sure(r.now()) {
+		if len(bad) > 0 {
 			r.release(ctx, bad)
 		}
-		for _, q := range rents {
-			names, err := r.cloud.Rent(ctx, q)
-			r.mu.Lock()
-			r.rented(q, names, err)
-			r.mu.Unlock()
+		if len(plan.Rents) == 0 {
+			return
 		}
-		if !sleep(ctx, every) {
-			return ctx.Err()
+		q := plan.Rents[0]
+		names, err := r.cloud.Rent(ctx, q)
+		r.mu.Lock()
+		r.rented(q, names, err)
+		r.mu.Unlock()
+	}
+}
+
+// drain marks machines that are to empty, and moves a few replicas off them:
+// each to a machine that has its image, so that it is gone for a moment only.
+func (r *reign) drain(plan fleet.Plan, now time.Time) {
+	for _, name := range plan.Drain {
+		if h := r.hosts[name]; h != nil {
+			r.log.Info("draining", "host", name, "claims", len(r.led.OnHost(name)))
+			h.Draining = true
 		}
 	}
+	var rooms []*room
+	moved := make(map[string]bool)
+	for _, h := range r.sortedHosts() {
+		if !h.Draining {
+			continue
+		}
+		if plan.Keep {
+			h.Draining = false
+			kick(r.plans)
+			continue
+		}
+		if rooms == nil {
+			rooms = r.rooms(now)
+		}
+		for _, c := range r.led.OnHost(h.Name) {
+			j := c.Job
+			if len(moved) >= 4 || moved[j.Ref] || c.Stopping || c.Running.IsZero() || j.Spec.Shape != wire.Standing ||
+				j.Active() < j.Spec.Members || !r.elsewhere(c, rooms, true) {
+				continue
+			}
+			moved[j.Ref] = true
+			c.Stopping = true
+			h.Nudge()
+		}
+	}
+}
+
+// elsewhere tells whether a replica has a warm place on another machine, and
+// takes the place from the rooms if asked to.
+func (r *reign) elsewhere(c *ledger.Held, rooms []*room, take bool) bool {
+	j := c.Job
+	for _, m := range rooms {
+		if m.h.Name == c.Host || m.h.Draining || !m.fits(j) || !m.h.HasImage(j.Spec.Bundle) {
+			continue
+		}
+		free := r.led.ZoneRoom(j, m.h.Zone)
+		if m.h.Zone == c.Zone {
+			free++ // its own place comes free
+		}
+		if free <= 0 {
+			continue
+		}
+		if take {
+			m.cores -= j.Spec.Cores
+			m.accel -= j.Spec.Accel
+			m.ram -= j.Spec.RAM
+		}
+		return true
+	}
+	return false
 }
 
 func (r *reign) rented(q wire.Rent, names []string, err error) {
@@ -209,6 +285,9 @@
 	now := r.now()
 	for _, n := range names {
 		r.gone[n] = now
+		if h := r.hosts[n]; h != nil {
+			r.rents.Returned(fleet.Machine{Flavor: h.Flavor, Zone: h.Zone, Loaners: h.Loaners})
+		}
 		for _, c := range r.led.OnHost(n) {
 			r.lost(c, "machine returned")
 		}
@@ -326,6 +405,10 @@
 // machines shows the fleet to the planner.
 func (r *reign) machines(now time.Time) []fleet.Machine {
 	var ms []fleet.Machine
+	var rooms []*room
+	if r.set.Frugal() {
+		rooms = r.rooms(now)
+	}
 	for _, h := range r.sortedHosts() {
 		_, leaving := r.gone[h.Name]
 		if h.Flavor == "" {
@@ -334,6 +417,13 @@
 		m := fleet.Machine{
 			Name: h.Name, Flavor: h.Flavor, Zone: h.Zone, Loaners: h.Loaners,
 			Up: !h.Heard.IsZero(), Leaving: leaving || !h.WarnAt.IsZero() || r.badHost(h),
+			Draining: h.Draining, Movable: true, Asked: h.Asked,
+		}
+		for _, c := range r.led.OnHost(h.Name) {
+			if c.Job.Spec.Shape == wire.Standing {
+				m.Replicas++
+				m.Movable = m.Movable && !c.Running.IsZero() && r.elsewhere(c, rooms, false)
+			}
 		}
 		if m.Up && len(h.Members) == 0 && len(r.led.OnHost(h.Name)) == 0 {
 			m.Idle = h.Idle
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -20,6 +20,11 @@
 	Up      bool      // its worker reports
 	Idle    time.Time // since when nothing is on it; zero: busy or not up
 	Leaving bool      // it is to go whatever the need
+
+	Asked    time.Time // when it was rented, as far as is known
+	Draining bool      // it takes no new tasks, and goes once empty
+	Movable  bool      // every replica on it has a warm place elsewhere
+	Replicas int
 }
 
 // Need is the work on hand, in cores.
@@ -92,19 +97,33 @@
 	p.refused[o] = f
 }
 
-// Plan gives the requests to make and the machines to return.
-func (p *Planner) Plan(types map[string]*wire.MachineType, ms []Machine, need Need, now time.Time) (rents []wire.Rent, leave []string) {
+// Returned notes that a machine was returned: another like it may be had now.
+func (p *Planner) Returned(m Machine) {
+	delete(p.refused, offer{m.Flavor, m.Zone, m.Loaners})
+}
+
+// Plan is what to do about the fleet.
+type Plan struct {
+	Rents []wire.Rent
+	Leave []string // machines to return
+	Drain []string // machines that take no new tasks from now on
+	Keep  bool     // machines draining are needed after all
+}
+
+// Plan decides what to rent and what to return.
+func (p *Planner) Plan(types map[string]*wire.MachineType, ms []Machine, need Need, now time.Time) Plan {
 	if p.set.Frugal() {
 		return p.frugal(types, ms, need, now)
 	}
+	plan := Plan{Rents: p.ample(types, ms, need, now)}
 	if len(need.Tasks) == 0 {
 		for _, m := range ms {
 			if t := types[m.Flavor]; t != nil && p.idle(m, t, now) {
-				leave = append(leave, m.Name)
+				plan.Leave = append(plan.Leave, m.Name)
 			}
 		}
 	}
-	return p.ample(types, ms, need, now), leave
+	return plan
 }
 
 // idle tells whether a machine has had nothing to do for long enough.
@@ -166,8 +185,10 @@
 }
 
 // frugal rents for the work on hand and a spare share, on spot machines where
-// the work may, and returns what stands idle.
-func (p *Planner) frugal(types map[string]*wire.MachineType, ms []Machine, need Need, now time.Time) ([]wire.Rent, []string) {
+// the work may, and returns what stands idle. Machines that are more than the
+// need are drained, the dearest core first, since a few replicas on each would
+// otherwise keep them all.
+func (p *Planner) frugal(types map[string]*wire.MachineType, ms []Machine, need Need, now time.Time) (plan Plan) {
 	p.smooth(need, now)
 	spare := 1 + p.set.Operator.Fleet.Spare
 	steady := need.Steady * spare
@@ -175,11 +196,19 @@
 
 	var firm, spot float64
 	perZone := make(map[string]float64)
+	draining := 0
 	for _, m := range ms {
 		t := types[m.Flavor]
 		if t == nil || m.Leaving {
 			continue
 		}
+		if m.Draining {
+			draining++
+			if !m.Idle.IsZero() {
+				plan.Leave = append(plan.Leave, m.Name)
+			}
+			continue
+		}
 		if m.Loaners {
 			spot += t.Cores
 		} else {
@@ -188,28 +217,26 @@
 		}
 	}
 
-	var rents []wire.Rent
 	if lack := steady - firm; lack > 0 {
 		os := p.offers(types, false, need, now)
 		// Spread over zones: the zone with the least goes first.
 		slices.SortStableFunc(os, func(a, b offer) int { return cmp.Compare(perZone[a.zone], perZone[b.zone]) })
-		rents = p.fill(rents, os, types, lack, false)
+		plan.Rents = p.fill(plan.Rents, os, types, lack, false)
+		plan.Keep = true
 	}
 	if lack := passing - spot - max(0, firm-steady); lack > 0 {
 		os := p.offers(types, true, need, now)
 		if len(os) == 0 && need.Waiting > 0 {
-			rents = p.fill(rents, p.offers(types, false, need, now), types, min(lack, need.Waiting), false)
+			plan.Rents = p.fill(plan.Rents, p.offers(types, false, need, now), types, min(lack, need.Waiting), false)
 		} else {
-			rents = p.fill(rents, os, types, lack, true)
+			plan.Rents = p.fill(plan.Rents, os, types, lack, true)
 		}
+		plan.Keep = plan.Keep || need.Waiting > 0
+	}
+	if plan.Keep {
+		return plan
 	}
 
-	var leave []string
-	idle := slices.DeleteFunc(slices.Clone(ms), func(m Machine) bool {
-		t := types[m.Flavor]
-		return t == nil || !p.idle(m, t, now)
-	})
-	// The dearest core goes first.
 	price := func(m Machine) float64 {
 		t := types[m.Flavor]
 		if m.Loaners {
@@ -217,23 +244,33 @@
 		}
 		return t.Rate / t.Cores
 	}
-	slices.SortFunc(idle, func(a, b Machine) int {
-		return cmp.Or(-cmp.Compare(price(a), price(b)), cmp.Compare(a.Name, b.Name))
+	over := slices.DeleteFunc(slices.Clone(ms), func(m Machine) bool {
+		t := types[m.Flavor]
+		return t == nil || m.Leaving || m.Draining || !m.Up
 	})
-	for _, m := range idle {
-		c := types[m.Flavor].Cores
-		total := firm + spot - c
-		if total < steady+passing || (!m.Loaners && firm-c < steady) {
+	slices.SortFunc(over, func(a, b Machine) int {
+		return cmp.Or(-cmp.Compare(price(a), price(b)), cmp.Compare(a.Replicas, b.Replicas), cmp.Compare(a.Name, b.Name))
+	})
+	for _, m := range over {
+		t := types[m.Flavor]
+		idle := p.idle(m, t, now)
+		if firm+spot-t.Cores < steady+passing || !m.Loaners && firm-t.Cores < steady ||
+			!idle && (draining >= 2 || m.Replicas > 0 && !m.Movable || now.Sub(m.Asked) < 3*settings.Seconds(t.ReadyS)) {
 			continue
 		}
 		if m.Loaners {
-			spot -= c
+			spot -= t.Cores
+		} else {
+			firm -= t.Cores
+		}
+		if idle {
+			plan.Leave = append(plan.Leave, m.Name)
 		} else {
-			firm -= c
+			plan.Drain = append(plan.Drain, m.Name)
+			draining++
 		}
-		leave = append(leave, m.Name)
 	}
-	return rents, leave
+	return plan
 }
 
 // smooth follows the need over a few boots, so that machines are not returned
