--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -448,6 +448,7 @@
 			passing[s.Owner] += cores
 		} else {
 			n.Steady += cores
+			n.Largest = max(n.Largest, cores)
 		}
 		n.Waiting += s.Cores * float64(j.WaitingTasks())
 		key := fmt.Sprint(s.Cores, s.Accel, s.RAM, s.Flavors, s.Locale, s.Loaners)
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -32,6 +32,7 @@
 	Steady  float64 // work that may not run on spot machines
 	Passing float64 // work that may
 	Waiting float64 // the part of either that waits now
+	Largest float64 // the largest service on hand: the next one may be like it
 	Tasks   []Shape // shapes of tasks on hand
 }
 
@@ -191,8 +192,11 @@
 func (p *Planner) frugal(types map[string]*wire.MachineType, ms []Machine, need Need, now time.Time) (plan Plan) {
 	p.smooth(need, now)
 	spare := 1 + p.set.Operator.Fleet.Spare
-	steady := need.Steady * spare
+	steady := need.Steady*spare + 2*need.Largest
 	passing := max(need.Passing, p.passing) * spare
+	// What is drained may be wanted again before another is up: let go of it
+	// only when well above the need.
+	ebb := spare * passing
 
 	var firm, spot float64
 	perZone := make(map[string]float64)
@@ -254,7 +258,7 @@
 	for _, m := range over {
 		t := types[m.Flavor]
 		idle := p.idle(m, t, now)
-		if firm+spot-t.Cores < steady+passing || !m.Loaners && firm-t.Cores < steady ||
+		if firm+spot-t.Cores < steady+ebb || !m.Loaners && firm-t.Cores < steady ||
 			!idle && (draining >= 2 || m.Replicas > 0 && !m.Movable || now.Sub(m.Asked) < 3*settings.Seconds(t.ReadyS)) {
 			continue
 		}
