--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -218,7 +218,7 @@
 		}
 		for _, c := range r.led.OnHost(h.Name) {
 			j := c.Job
-			if len(moved) >= 4 || moved[j.Ref] || c.Stopping || c.Running.IsZero() || j.Spec.Shape != wire.Standing ||
+			if len(moved) >= 4 || moved[j.Ref] || c.Stopping || !r.settled(c, now) || j.Spec.Shape != wire.Standing ||
 				j.Active() < j.Spec.Members || !r.elsewhere(c, rooms, true) {
 				continue
 			}
@@ -229,6 +229,12 @@
 	}
 }
 
+// settled tells whether a task has run long enough to be moved: one stopped
+// soon after its start was as good as never started to its users.
+func (r *reign) settled(c *ledger.Held, now time.Time) bool {
+	return !c.Running.IsZero() && now.Sub(c.Running) > 2*r.set.Lease()
+}
+
 // elsewhere tells whether a replica has a warm place on another machine, and
 // takes the place from the rooms if asked to.
 func (r *reign) elsewhere(c *ledger.Held, rooms []*room, take bool) bool {
@@ -422,7 +428,7 @@
 		for _, c := range r.led.OnHost(h.Name) {
 			if c.Job.Spec.Shape == wire.Standing {
 				m.Replicas++
-				m.Movable = m.Movable && !c.Running.IsZero() && r.elsewhere(c, rooms, false)
+				m.Movable = m.Movable && r.settled(c, now) && r.elsewhere(c, rooms, false)
 			}
 		}
 		if m.Up && len(h.Members) == 0 && len(r.led.OnHost(h.Name)) == 0 {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -192,7 +192,7 @@
 func (p *Planner) frugal(types map[string]*wire.MachineType, ms []Machine, need Need, now time.Time) (plan Plan) {
 	p.smooth(need, now)
 	spare := 1 + p.set.Operator.Fleet.Spare
-	steady := need.Steady*spare + 2*need.Largest
+	steady := need.Steady*spare + need.Largest
 	passing := max(need.Passing, p.passing) * spare
 	// What is drained may be wanted again before another is up: let go of it
 	// only when well above the need.
