--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -80,8 +80,8 @@
 	return up >= 4 && now.Sub(r.heard) > quiet
 }
 
-// strangers are hosts that are up but have not come to this leader yet, or stay
-// with a node that no longer owns them.
+// strangers are hosts that are up but have not come to this leader yet, stay
+// with a node that no longer owns them, or are late with a report.
 func (r *reign) strangers(now time.Time) []*agent.Host {
 	var hs []*agent.Host
 	for _, l := range r.listed {
@@ -90,7 +90,7 @@
 		}
 		h := r.host(l.Ref)
 		strange := h.Heard.IsZero() && now.Sub(r.began) > r.set.Report()/2 ||
-			!h.Heard.IsZero() && now.Sub(h.Heard) > 3*r.set.Report()/2 && h.Epoch < r.term.Epoch()
+			!h.Heard.IsZero() && now.Sub(h.Heard) > 3*r.set.Report()/2
 		if strange && len(hs) < 16 {
 			h.Address, h.Flavor, h.Zone, h.Loaners = l.Address, l.Flavor, l.Locale, l.Loaners
 			hs = append(hs, h)
@@ -110,6 +110,7 @@
 		return
 	}
 	r.mu.Lock()
+	h.Polled = r.now()
 	r.report(rep)
 	r.mu.Unlock()
 	if rep.Epoch < r.term.Epoch() {
@@ -193,8 +194,9 @@
 	}
 }
 
-// drain marks machines that are to empty, and moves a few replicas off them:
-// each to a machine that has its image, so that it is gone for a moment only.
+// drain marks machines that are to empty, and moves replicas off them, one at a
+// time and each to a machine that has its image, so that little of the service
+// is gone and only for a moment.
 func (r *reign) drain(plan fleet.Plan, now time.Time) {
 	for _, name := range plan.Drain {
 		if h := r.hosts[name]; h != nil {
@@ -218,7 +220,7 @@
 		}
 		for _, c := range r.led.OnHost(h.Name) {
 			j := c.Job
-			if len(moved) >= 4 || moved[j.Ref] || c.Stopping || !r.settled(c, now) || j.Spec.Shape != wire.Standing ||
+			if len(moved) >= 1 || moved[j.Ref] || c.Stopping || !r.settled(c, now) || j.Spec.Shape != wire.Standing ||
 				j.Active() < j.Spec.Members || !r.elsewhere(c, rooms, true) {
 				continue
 			}
@@ -358,8 +360,8 @@
 			why = "again" // its release was not answered
 		case listed && l.Phase == wire.HostFailed:
 			why = "failed"
-		case !h.Heard.IsZero() && now.Sub(h.Heard) > silence,
-			h.Heard.IsZero() && now.Sub(r.began) > silence && !h.Running.IsZero() && now.Sub(h.Running) > silence,
+		case !h.Heard.IsZero() && now.Sub(h.Lately()) > silence,
+			h.Heard.IsZero() && now.Sub(r.began) > silence && !h.Running.IsZero() && now.Sub(h.Running) > silence && now.Sub(h.Polled) > silence,
 			h.Heard.IsZero() && !listed && len(claims) > 0 && now.Sub(r.began) > r.set.Lease():
 			why = "silent"
 			silent++
