--- /dev/null
+++ b/internal/agent/host_test.go
@@ -0,0 +1,101 @@
+package agent
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"rillflow/internal/ledger"
+	"rillflow/internal/wire"
+)
+
+func TestOrders(t *testing.T) {
+	live, gone := &ledger.Job{Ref: "req-1"}, &ledger.Job{Ref: "req-2", Withdrawn: true}
+	type member struct {
+		task  string
+		try   uint64
+		phase string
+	}
+	for _, tc := range []struct {
+		name    string
+		claims  []*ledger.Held
+		members []member
+		tweak   func(*Host)
+		answer  bool
+		want    string
+	}{
+		{"launch what is claimed", []*ledger.Held{{Claim: ledger.Claim{Tenure: 1, Try: 4}, Job: live, Committed: true}}, nil, nil, false, "launch req-1/0 4"},
+		{"never before the claim is durable", []*ledger.Held{{Claim: ledger.Claim{Tenure: 1, Try: 4}, Job: live}}, nil, nil, true, ""},
+		{"not in another tenure", []*ledger.Held{{Claim: ledger.Claim{Tenure: 2, Try: 4}, Job: live, Committed: true}}, nil, nil, true, ""},
+		{"not what it has", []*ledger.Held{{Claim: ledger.Claim{Tenure: 1, Try: 4}, Job: live, Committed: true}}, []member{{"req-1/0", 4, "running"}}, nil, true, ""},
+		{"stop what is withdrawn", []*ledger.Held{{Claim: ledger.Claim{Tenure: 1, Try: 4}, Job: gone, Committed: true}}, []member{{"req-2/0", 4, "running"}}, nil, true, "stop req-2/0 4"},
+		{"stop a launch of it that may be on its way", []*ledger.Held{{Claim: ledger.Claim{Tenure: 1, Try: 4}, Job: gone, Committed: true, Sent: true}}, nil, nil, true, "stop req-2/0 4"},
+		{"stop what nobody claimed", nil, []member{{"req-9/1", 2, "running"}}, nil, true, "stop req-9/1 2"},
+		{"reap what has ended", nil, []member{{"req-1/0", 4, "ended"}}, nil, true, "reap req-1/0 4"},
+		{"not while its finish is not durable", []*ledger.Held{{Claim: ledger.Claim{Tenure: 1, Try: 4}, Job: live, Committed: true, Over: true}}, []member{{"req-1/0", 4, "ended"}}, nil, true, ""},
+		{"reap only in answer to a beat", nil, []member{{"req-1/0", 4, "ended"}}, nil, false, ""},
+		{"not while a command is under way", nil, []member{{"req-1/0", 4, "ended"}}, func(h *Host) { h.InFlight = true }, true, ""},
+		{"not while a lost command may still come", nil, []member{{"req-1/0", 4, "ended"}}, func(h *Host) { h.Taint = 7 }, true, ""},
+		{"once the worker has seen a later epoch", nil, []member{{"req-1/0", 4, "ended"}}, func(h *Host) { h.Taint = 6 }, true, "reap req-1/0 4"},
+		{"another try of a claimed task is stopped first", []*ledger.Held{{Claim: ledger.Claim{Tenure: 1, Try: 4}, Job: live, Committed: true}}, []member{{"req-1/0", 3, "running"}}, nil, true, "stop req-1/0 3, launch req-1/0 4"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := NewHost("i-1")
+			h.Tenure, h.Epoch = 1, 7
+			claims := map[ledger.Task]*ledger.Held{}
+			for _, c := range tc.claims {
+				claims[c.Task()] = c
+			}
+			for _, m := range tc.members {
+				task, _ := ledger.ParseTask(m.task)
+				h.Members[task] = Member{Try: m.try, Phase: m.phase}
+			}
+			if tc.tweak != nil {
+				tc.tweak(h)
+			}
+			var got []string
+			for _, o := range h.Orders(claims, 7, tc.answer) {
+				got = append(got, fmt.Sprintf("%s %s %d", o.Verb, o.Member, o.Try))
+				if c := tc.claims; o.Verb == wire.Launch && (!c[0].Sent || c[0].SentEpoch != 7) {
+					t.Error("a launch left without being noted")
+				}
+			}
+			if s := strings.Join(got, ", "); s != tc.want {
+				t.Errorf("got %q, want %q", s, tc.want)
+			}
+		})
+	}
+}
+
+func TestNewer(t *testing.T) {
+	h := NewHost("i-1")
+	h.Tenure, h.Tick = 2, 10
+	for _, tc := range []struct {
+		tenure, tick uint64
+		want         bool
+	}{{2, 11, true}, {2, 10, false}, {2, 9, false}, {3, 1, true}, {1, 99, false}} {
+		if got := h.Newer(&wire.Report{Tenure: tc.tenure, Tick: tc.tick}); got != tc.want {
+			t.Errorf("%d.%d newer than 2.10: %v", tc.tenure, tc.tick, got)
+		}
+	}
+}
+
+func TestImages(t *testing.T) {
+	h := NewHost("i-1")
+	h.Fetches("a", 4)
+	if h.HasImage("a") {
+		t.Error("an image is there before it is fetched")
+	}
+	h.Abandons("a")
+	for _, b := range []string{"a", "b", "c", "a", "d"} {
+		h.Used(b, 4, 10)
+	}
+	var have []string
+	for _, im := range h.Images {
+		have = append(have, im.Bundle)
+	}
+	if !slices.Equal(have, []string{"d", "a"}) {
+		t.Errorf("kept %v of a cache for two", have)
+	}
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -68,9 +68,7 @@
 	asks    int
 	refused map[offer]refusal
 	passing float64 // smoothed need
-	steady  float64
 	last    time.Time
-	began   time.Time
 }
 
 // NewPlanner makes a planner; the epoch keeps its request names unique.
@@ -286,7 +284,6 @@
 	w := 1 - math.Exp(-now.Sub(p.last).Seconds()/(4*p.set.Lease().Seconds()))
 	p.last = now
 	p.passing += w * (need.Passing - p.passing)
-	p.steady += w * (need.Steady - p.steady)
 }
 
 // fill asks for so many cores over the offers, in their order.
--- /dev/null
+++ b/internal/fleet/plan_test.go
@@ -0,0 +1,114 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"rillflow/internal/settings"
+	"rillflow/internal/wire"
+)
+
+var now = time.Unix(1000, 0)
+
+func types() map[string]*wire.MachineType {
+	return map[string]*wire.MachineType{
+		"s": {Label: "s", Cores: 4, RAM: 8, Rate: 0.2, SpotPrice: 0.1, ReadyS: 20, Locales: []string{"a", "b"}},
+		"l": {Label: "l", Cores: 16, RAM: 64, Rate: 1.6, SpotPrice: 0.8, ReadyS: 20, Locales: []string{"a"}},
+	}
+}
+
+func planner(t *testing.T, thrift string) *Planner {
+	t.Helper()
+	op, err := settings.ParseOperator([]byte("<rillflow><fleet><thrift>" + thrift + "</thrift><spare>0</spare></fleet></rillflow>"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return NewPlanner(&settings.Settings{Node: "n", Operator: op, Facts: settings.Facts{
+		Teams:   []settings.Team{{Name: "t", CPUsMax: 24}},
+		Workers: settings.Workers{ReportS: 3, LeaseS: 30},
+	}}, 5)
+}
+
+func TestFrugal(t *testing.T) {
+	service := Shape{Cores: 2, RAM: 2}
+	array := Shape{Cores: 4, RAM: 4, Loaners: true}
+	old := now.Add(-time.Hour)
+	for _, tc := range []struct {
+		name string
+		ms   []Machine
+		need Need
+		ask  string // first request: flavor, zone, kind
+		n    int
+		out  []string // machines to return or drain
+	}{
+		{"nothing to do, nothing rented", nil, Need{}, "", 0, nil},
+		{"replicas want firm machines, the cheapest core", nil, Need{Steady: 6, Tasks: []Shape{service}}, "s a firm", 2, nil},
+		{"the zone with the least goes first", []Machine{{Flavor: "s", Zone: "a"}}, Need{Steady: 8, Tasks: []Shape{service}}, "s b firm", 1, nil},
+		{"arrays run on spot", nil, Need{Passing: 8, Tasks: []Shape{array}}, "s a spot", 2, nil},
+		{"only types that a task fits", nil, Need{Passing: 8, Tasks: []Shape{{Cores: 8, Loaners: true}}}, "l a spot", 1, nil},
+		{"machines that boot count", []Machine{{Flavor: "l", Loaners: true}}, Need{Passing: 8, Tasks: []Shape{array}}, "", 0, nil},
+		{"idle machines go", []Machine{{Name: "x", Flavor: "s", Loaners: true, Up: true, Idle: old, Asked: old}}, Need{}, "", 0, []string{"x"}},
+		{"not in the first moments", []Machine{{Name: "x", Flavor: "s", Loaners: true, Up: true, Idle: now.Add(-time.Second), Asked: now.Add(-time.Second)}}, Need{}, "", 0, nil},
+		{"the dearest core goes first", []Machine{
+			{Name: "x", Flavor: "s", Up: true, Idle: old, Asked: old}, {Name: "y", Flavor: "l", Up: true, Idle: old, Asked: old},
+		}, Need{Steady: 2, Largest: 2, Tasks: []Shape{service}}, "", 0, []string{"y"}},
+		{"a machine with replicas is drained only if they have a place", []Machine{
+			{Name: "x", Flavor: "s", Up: true, Asked: old, Replicas: 1, Movable: true}, {Name: "y", Flavor: "l", Up: true, Asked: old, Replicas: 1},
+		}, Need{Steady: 2, Tasks: []Shape{service}}, "", 0, []string{"x"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			plan := planner(t, "always").Plan(types(), tc.ms, tc.need, now)
+			ask, n := "", 0
+			if len(plan.Rents) > 0 {
+				r := plan.Rents[0]
+				ask, n = r.Flavor+" "+r.Locale+map[bool]string{true: " spot", false: " firm"}[r.Loaners], r.HowMany
+			}
+			if ask != tc.ask || n != tc.n {
+				t.Errorf("asks %d of %q, want %d of %q", n, ask, tc.n, tc.ask)
+			}
+			out := append(plan.Leave, plan.Drain...)
+			if len(out) != len(tc.out) || len(out) > 0 && out[0] != tc.out[0] {
+				t.Errorf("lets go of %v, want %v", out, tc.out)
+			}
+		})
+	}
+}
+
+func TestAmpleStopsAtTheTeamsLimits(t *testing.T) {
+	p := planner(t, "never")
+	need := Need{Steady: 1, Tasks: []Shape{{Cores: 1}}}
+	if rents := p.Plan(types(), []Machine{{Flavor: "l"}, {Flavor: "s"}}, need, now).Rents; len(rents) != 2 || rents[0].HowMany != 1 {
+		t.Errorf("asks %+v", rents)
+	}
+	if rents := p.Plan(types(), []Machine{{Flavor: "l"}, {Flavor: "s"}, {Flavor: "s"}}, need, now).Rents; len(rents) != 0 {
+		t.Errorf("asks %+v past the limit", rents)
+	}
+}
+
+// A type that was refused is left alone for a while, longer each time, and no
+// request name is used twice.
+func TestRefusals(t *testing.T) {
+	p := planner(t, "always")
+	need := Need{Passing: 4, Tasks: []Shape{{Cores: 4, Loaners: true}}}
+	seen := map[string]bool{}
+	var last wire.Rent
+	for i := range 3 {
+		rents := p.Plan(types(), nil, need, now).Rents
+		if len(rents) == 0 {
+			break
+		}
+		r := rents[0]
+		if seen[r.Ask] || r.Flavor+r.Locale == last.Flavor+last.Locale {
+			t.Fatalf("try %d asks again for %+v", i, r)
+		}
+		seen[r.Ask], last = true, r
+		p.Answered(r, 0, now)
+	}
+	if len(seen) != 3 {
+		t.Errorf("%d requests, want one for each type and zone", len(seen))
+	}
+	p.Returned(Machine{Flavor: last.Flavor, Zone: last.Locale, Loaners: true})
+	if rents := p.Plan(types(), nil, need, now).Rents; len(rents) != 1 || rents[0].Flavor != last.Flavor {
+		t.Errorf("after one was returned: %+v", rents)
+	}
+}
--- /dev/null
+++ b/internal/peer/codec_test.go
@@ -0,0 +1,120 @@
+package peer
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"testing"
+	"time"
+
+	"rillflow/internal/agent"
+	"rillflow/internal/placement"
+	"rillflow/internal/wire"
+)
+
+var warning = 12.5
+
+var report = &wire.Report{
+	Host: "i-1", Address: "1.2.3.4:5", Flavor: "big", Locale: "a", Loaners: true, Tenure: 3, Tick: 1 << 40, Epoch: 7, Warning: &warning,
+	Members: []wire.Member{{Member: "req-1/2", Try: 3, Phase: "ended", Cause: "halted", Kept: true}, {Member: "req-2/0", Try: 1, Phase: "running"}},
+}
+
+var offer = placement.Offer{
+	Rooms: []placement.Room{{
+		Host: "i-1", Flavor: "big", Zone: "a", Cores: 3.5, Accel: 1, RAM: 7, Total: 32, Pull: 0.2,
+		Images: []string{"x"}, Coming: []string{"y", "z"}, ComingGB: 2.5, Held: "req-9", HeldTier: 3,
+	}},
+	Queues: []placement.Queue{{Type: "t", Count: 40, Jobs: []placement.Waiting{{
+		Ref: "req-1", Tasks: 2, Tier: 6, Age: time.Second, Cores: 1, RAM: 2, Bundle: "x", SizeGB: 1.5, Standing: true,
+		Flavors: []string{"big"}, Zones: map[string]int{"a": 1, "b": -1}, Avoid: []string{"i-3"}, Within: 1, Warm: []string{"a"},
+	}}}},
+}
+
+func TestRoundTrips(t *testing.T) {
+	ping := Ping{Node: "n", Epoch: 9, Leader: "m", Parts: []string{"m", "n"}, StateAge: time.Minute}
+	answer := BeatAnswer{
+		OK: true, Orders: wire.Orders{Epoch: 4, Orders: []wire.Order{{Verb: "stop", Member: "req-1/0", Try: 2, Wind: 1.5}}},
+		Learned: []agent.Finish{{Type: "t", Flavor: "big", Run: time.Hour}},
+	}
+	picks := []placement.Picked{{Host: "i-1", Ref: "req-1", Tier: 2, Cost: -0.5, Weight: 8}}
+	user := UserRequest{Method: "POST", Path: "/v1/jobs", Body: []byte("{}")}
+	useranswer := UserAnswer{Status: 503, RetryAfter: "1", Body: []byte("x")}
+	counts := Counts{Known: true, Done: 3, Running: 4}
+	for _, tc := range []struct {
+		name   string
+		in     any
+		bytes  []byte
+		decode func([]byte) (any, error)
+	}{
+		{"ping", ping, ping.encode(), func(b []byte) (any, error) { return decodePing(b) }},
+		{"report", report, encodeReport(report), func(b []byte) (any, error) { return decodeReport(b) }},
+		{"answer", answer, answer.encode(), func(b []byte) (any, error) { return decodeBeatAnswer(b) }},
+		{"offer", offer, encodeOffer(&offer), func(b []byte) (any, error) { return decodeOffer(b) }},
+		{"picks", picks, encodePicks(picks), func(b []byte) (any, error) { return decodePicks(b) }},
+		{"user", user, user.encode(), func(b []byte) (any, error) { return decodeUserRequest(b) }},
+		{"user answer", useranswer, useranswer.encode(), func(b []byte) (any, error) { return decodeUserAnswer(b) }},
+		{"counts", counts, counts.encode(), func(b []byte) (any, error) { return decodeCounts(b) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got, err := tc.decode(tc.bytes)
+			if err != nil || !reflect.DeepEqual(got, tc.in) {
+				t.Fatalf("got %+v, %v", got, err)
+			}
+			for n := range tc.bytes {
+				if _, err := tc.decode(tc.bytes[:n]); err == nil {
+					t.Fatalf("cut to %d of %d bytes it was taken", n, len(tc.bytes))
+				}
+			}
+			if _, err := tc.decode(append(bytes.Clone(tc.bytes), 0)); !errors.Is(err, ErrFormat) {
+				t.Error("a byte too many was taken")
+			}
+		})
+	}
+}
+
+func TestFrame(t *testing.T) {
+	var buf bytes.Buffer
+	if err := writeFrame(&buf, frame{kindOffer, 1 << 50, []byte("abc")}); err != nil {
+		t.Fatal(err)
+	}
+	raw := buf.Bytes()
+	f, err := readFrame(bytes.NewReader(raw))
+	if err != nil || f.kind != kindOffer || f.id != 1<<50 || string(f.body) != "abc" {
+		t.Fatalf("%+v %v", f, err)
+	}
+	other := bytes.Clone(raw)
+	other[0]++
+	if _, err := readFrame(bytes.NewReader(other)); !errors.Is(err, ErrFormat) {
+		t.Error("another version was taken")
+	}
+	long := bytes.Clone(raw)
+	long[10] = 0xff
+	if _, err := readFrame(bytes.NewReader(long)); !errors.Is(err, ErrFormat) {
+		t.Error("a length past the limit was taken")
+	}
+	if err := writeFrame(&buf, frame{kindOffer, 1, make([]byte, maxPayload+1)}); !errors.Is(err, ErrFormat) {
+		t.Error("a payload past the limit was sent")
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(encodeReport(report))
+	f.Add(encodeOffer(&offer))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if r, err := decodeReport(b); err == nil {
+			if again, err := decodeReport(encodeReport(r)); err != nil || again.Host != r.Host || len(again.Members) != len(r.Members) {
+				t.Fatalf("report changed: %v", err)
+			}
+		}
+		if o, err := decodeOffer(b); err == nil {
+			if again, err := decodeOffer(encodeOffer(&o)); err != nil || len(again.Rooms) != len(o.Rooms) || len(again.Queues) != len(o.Queues) {
+				t.Fatalf("offer changed: %v", err)
+			}
+		}
+		decodePing(b)
+		decodeBeatAnswer(b)
+		decodePicks(b)
+		decodeUserRequest(b)
+		readFrame(bytes.NewReader(b))
+	})
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -121,3 +121,51 @@
 		})
 	}
 }
+
+func TestChoose(t *testing.T) {
+	room := func(h, zone string, cores float64, images ...string) Room {
+		return Room{Host: h, Flavor: "big", Zone: zone, Cores: cores, Total: 8, RAM: 64, Pull: 1, Images: images}
+	}
+	spot := func(r Room) Room { r.Loaners = true; return r }
+	queue := func(typ string, count int, jobs ...Waiting) Queue { return Queue{typ, count, jobs} }
+	for _, tc := range []struct {
+		name  string
+		offer Offer
+		want  string
+	}{
+		{"nothing fits", Offer{[]Room{room("h", "a", 1)}, []Queue{queue("t", 1, Waiting{Ref: "x", Tasks: 1, Cores: 2})}}, ""},
+		{"until the room is full", Offer{[]Room{room("h", "a", 5)}, []Queue{queue("t", 9, Waiting{Ref: "x", Tasks: 9, Cores: 2})}}, "h:x h:x"},
+		{"until no task waits", Offer{[]Room{room("h", "a", 8)}, []Queue{queue("t", 1, Waiting{Ref: "x", Tasks: 1, Cores: 2})}}, "h:x"},
+		{"the greater count", Offer{[]Room{room("h", "a", 2)}, []Queue{queue("t", 2, Waiting{Ref: "x", Tasks: 2, Cores: 2}), queue("u", 3, Waiting{Ref: "y", Tasks: 3, Cores: 2})}}, "h:y"},
+		{"the machine with the image", Offer{[]Room{room("h", "a", 2), room("i", "a", 2, "img")}, []Queue{queue("t", 1, Waiting{Ref: "x", Tasks: 1, Cores: 2, Bundle: "img", SizeGB: 2})}}, "i:x"},
+		{"no spot machine for what may not", Offer{[]Room{spot(room("h", "a", 2))}, []Queue{queue("t", 1, Waiting{Ref: "x", Tasks: 1, Cores: 2})}}, ""},
+		{"spot before firm", Offer{[]Room{room("h", "a", 2), spot(room("i", "a", 2))}, []Queue{queue("t", 1, Waiting{Ref: "x", Tasks: 1, Cores: 2, Loaners: true})}}, "i:x"},
+		{"zones fill up", Offer{[]Room{room("h", "a", 8), room("i", "b", 8)}, []Queue{queue("t", 4, Waiting{Ref: "x", Tasks: 4, Cores: 2, Zones: map[string]int{"a": 1, "b": 2}})}}, "h:x i:x i:x"},
+		{"not where it failed", Offer{[]Room{room("h", "a", 2)}, []Queue{queue("t", 1, Waiting{Ref: "x", Tasks: 1, Cores: 2, Avoid: []string{"h"}})}}, ""},
+		{"a held room is for its holder", Offer{[]Room{{Host: "h", Cores: 2, Held: "y"}}, []Queue{queue("t", 1, Waiting{Ref: "x", Tasks: 1, Cores: 1})}}, ""},
+		{"or for what comes before it", Offer{[]Room{{Host: "h", Cores: 2, Held: "y", HeldTier: 3}}, []Queue{queue("t", 1, Waiting{Ref: "x", Tasks: 1, Cores: 1, Tier: 2})}}, "h:x"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := ""
+			tab := NewTable(params(), t0)
+			tune := Tuning{Aged: time.Minute, NearTie: 0.1, Firm: 3}
+			counts := map[string]int{}
+			for _, p := range tab.Choose(tc.offer, tune, t0) {
+				counts[p.Host+":"+p.Ref]++
+			}
+			for _, h := range []string{"h", "i"} {
+				for _, j := range []string{"x", "y"} {
+					for range counts[h+":"+j] {
+						got += " " + h + ":" + j
+					}
+				}
+			}
+			if got != "" {
+				got = got[1:]
+			}
+			if got != tc.want {
+				t.Errorf("got %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
