--- a/cmd/rillflow/main.go
+++ b/cmd/rillflow/main.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -45,7 +46,10 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := serve.Run(ctx, set, log.With("node", set.Node)); err != nil && ctx.Err() == nil {
+	// The garbage collector works harder near this goal, well before the
+	// platform ends the process.
+	debug.SetMemoryLimit(int64(set.Operator.Limits.Memory * set.Facts.Resources.MemoryMB * (1 << 20)))
+	if err := serve.Run(ctx, set, serve.TCP(set.Report()), log.With("node", set.Node)); err != nil && ctx.Err() == nil {
 		return err
 	}
 	return nil
--- a/internal/agent/direct.go
+++ b/internal/agent/direct.go
@@ -27,10 +27,9 @@
 }
 
 // NewDirect makes a sender that gives a worker so long to answer.
-func NewDirect(timeout time.Duration) *Direct {
-	d := &net.Dialer{Timeout: timeout}
+func NewDirect(timeout time.Duration, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Direct {
 	return &Direct{timeout: timeout, http: &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2,
+		DialContext: dial, MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2,
 		IdleConnTimeout: time.Minute, DisableCompression: true,
 	}}}
 }
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -31,12 +31,11 @@
 }
 
 // NewCloud makes a client that sends at most rps requests a second.
-func NewCloud(addr string, rps float64, timeout time.Duration) *Cloud {
-	d := &net.Dialer{Timeout: timeout}
+func NewCloud(addr string, rps float64, timeout time.Duration, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Cloud {
 	return &Cloud{
 		base: "http://" + addr,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext: d.DialContext, MaxIdleConnsPerHost: 4, MaxConnsPerHost: 8,
+			DialContext: dial, MaxIdleConnsPerHost: 4, MaxConnsPerHost: 8,
 			IdleConnTimeout: time.Minute, DisableCompression: true,
 		}},
 		limit:   rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -44,10 +44,10 @@
 }
 
 // NewMesh makes the links; nothing is dialled before Run.
-func NewMesh(members []settings.Member, h Handler, every time.Duration, slots int, log *slog.Logger) *Mesh {
+func NewMesh(members []settings.Member, h Handler, every time.Duration, slots int, dial func(ctx context.Context, network, addr string) (net.Conn, error), log *slog.Logger) *Mesh {
 	m := &Mesh{h: h, every: every, links: make(map[string]*Link), log: log, slots: make(chan struct{}, max(1, slots))}
 	for _, p := range members {
-		m.links[p.Node] = &Link{node: p.Node, addr: p.Endpoint, every: every, pending: make(map[uint64]chan frame)}
+		m.links[p.Node] = &Link{node: p.Node, addr: p.Endpoint, every: every, dial: dial, pending: make(map[uint64]chan frame)}
 	}
 	return m
 }
@@ -215,6 +215,7 @@
 type Link struct {
 	node, addr string
 	every      time.Duration
+	dial       func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu      sync.Mutex
 	conn    net.Conn
@@ -235,9 +236,10 @@
 
 // run dials, pings, and dials again.
 func (l *Link) run(ctx context.Context, h Handler) error {
-	d := net.Dialer{Timeout: 2 * l.every}
 	for try := 0; ctx.Err() == nil; {
-		c, err := d.DialContext(ctx, "tcp", l.addr)
+		dctx, done := context.WithTimeout(ctx, 4*l.every)
+		c, err := l.dial(dctx, "tcp", l.addr)
+		done()
 		if err != nil {
 			state.Backoff(ctx, try, l.every, 4*l.every)
 			try++
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"golang.org/x/net/netutil"
@@ -37,37 +36,48 @@
 	began   time.Time
 }
 
+// Net is the network that a controller lives in.
+type Net struct {
+	Dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	Listen func(addr string) (net.Listener, error)
+}
+
+// TCP is the network of the machine.
+func TCP(timeout time.Duration) Net {
+	d := net.Dialer{Timeout: timeout}
+	return Net{Dial: d.DialContext, Listen: func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }}
+}
+
 // Run serves until ctx ends.
-func Run(ctx context.Context, set *settings.Settings, log *slog.Logger) error {
+func Run(ctx context.Context, set *settings.Settings, nw Net, log *slog.Logger) error {
 	op, facts := set.Operator, set.Facts
-	debug.SetMemoryLimit(int64(op.Limits.Memory * facts.Resources.MemoryMB * (1 << 20)))
 	nodes := float64(1 + len(set.Members))
 	d := &daemon{set: set, log: log, began: time.Now()}
 	// Any node may lead and then needs most of the budget; the rest is
 	// shared. Spent in full by all, this stays at what the service allows.
 	d.st = state.New(state.Options{
 		Addr: set.Services.State, RPS: facts.State.RPS * 0.8 * 2 / (nodes + 1), WriteRPS: facts.State.WriteRPS * 0.8,
-		Timeout: set.Report() / 2,
+		Timeout: set.Report() / 2, Dial: nw.Dial,
 	})
-	cloud := fleet.NewCloud(set.Services.Cloud, facts.Cloud.RPS*0.8, set.Report())
+	cloud := fleet.NewCloud(set.Services.Cloud, facts.Cloud.RPS*0.8, set.Report(), nw.Dial)
 	types := fleet.NewCatalogue(cloud, 2*set.Lease(), log)
 	d.el = lead.New(d.st, set.Node, time.Duration(op.Lead.Grant*float64(set.Lease())), func() []string { return d.part.Fit(nil) }, log)
 	d.part = part.New(set, d.el.Known, d.st.SinceOK, time.Now)
-	d.mesh = peer.NewMesh(set.Members, d, set.Report()/6, int(op.Limits.Sockets*float64(facts.Resources.Sockets)/2), log)
+	d.mesh = peer.NewMesh(set.Members, d, set.Report()/6, int(op.Limits.Sockets*float64(facts.Resources.Sockets)/2), nw.Dial, log)
 	d.part.Link(d.mesh)
 	d.control = control.New(control.Deps{
-		Settings: set, State: d.st, Cloud: cloud, Direct: agent.NewDirect(set.Report()), Elector: d.el,
+		Settings: set, State: d.st, Cloud: cloud, Direct: agent.NewDirect(set.Report(), nw.Dial), Elector: d.el,
 		Types: types, Parts: d.part, Log: log,
 	})
 	mux := http.NewServeMux()
 	intake.New(set, d.st, types, d.counts, log).Routes(mux)
 	d.users = mux
 
-	front, err := net.Listen("tcp", set.Front)
+	front, err := nw.Listen(set.Front)
 	if err != nil {
 		return fmt.Errorf("front: %w", err)
 	}
-	back, err := net.Listen("tcp", set.Back)
+	back, err := nw.Listen(set.Back)
 	if err != nil {
 		front.Close()
 		return fmt.Errorf("back: %w", err)
--- /dev/null
+++ b/internal/sim/network_test.go
@@ -0,0 +1,292 @@
+package sim
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"rillflow/internal/serve"
+)
+
+// network carries bytes between named hosts. What is sent into a cut is held
+// and comes late, also when its sender has given up meanwhile.
+type network struct {
+	mu    sync.Mutex
+	cond  *sync.Cond
+	lis   map[string]*listener // by address
+	owner map[string]string    // address to host
+	cuts  map[[2]string]bool
+	conns map[*conn]bool
+	rnd   *rand.Rand
+	ended bool
+}
+
+func newNetwork(rnd *rand.Rand) *network {
+	n := &network{lis: map[string]*listener{}, owner: map[string]string{}, cuts: map[[2]string]bool{}, conns: map[*conn]bool{}, rnd: rnd}
+	n.cond = sync.NewCond(&n.mu)
+	return n
+}
+
+func (n *network) cut(a, b string, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{a, b}], n.cuts[[2]string{b, a}] = on, on
+	n.cond.Broadcast()
+	for c := range n.conns {
+		c.cond.Broadcast()
+	}
+}
+
+// reset ends all connections of a host, as when its process ends.
+func (n *network) reset(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.from == host || c.to == host {
+			c.kill()
+		}
+	}
+	for a, l := range n.lis {
+		if n.owner[a] == host {
+			l.closed = true
+			delete(n.lis, a)
+		}
+	}
+	n.cond.Broadcast()
+}
+
+func (n *network) end() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ended = true
+	for c := range n.conns {
+		c.kill()
+	}
+	for _, l := range n.lis {
+		l.closed = true
+	}
+	n.cond.Broadcast()
+}
+
+func (n *network) at(host string) serve.Net {
+	return serve.Net{
+		Dial: func(ctx context.Context, _, addr string) (net.Conn, error) { return n.dial(ctx, host, addr) },
+		Listen: func(addr string) (net.Listener, error) {
+			return n.listen(host, addr), nil
+		},
+	}
+}
+
+type listener struct {
+	n      *network
+	addr   string
+	queue  []*conn
+	closed bool
+}
+
+func (n *network) listen(host, addr string) *listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &listener{n: n, addr: addr}
+	n.lis[addr], n.owner[addr] = l, host
+	return l
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	l.n.mu.Lock()
+	defer l.n.mu.Unlock()
+	for len(l.queue) == 0 && !l.closed {
+		l.n.cond.Wait()
+	}
+	if l.closed {
+		return nil, net.ErrClosed
+	}
+	c := l.queue[0]
+	l.queue = l.queue[1:]
+	return c, nil
+}
+
+func (l *listener) Close() error {
+	l.n.mu.Lock()
+	defer l.n.mu.Unlock()
+	l.closed = true
+	if l.n.lis[l.addr] == l {
+		delete(l.n.lis, l.addr)
+	}
+	l.n.cond.Broadcast()
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return addr(l.addr) }
+
+type addr string
+
+func (a addr) Network() string { return "tcp" }
+func (a addr) String() string  { return string(a) }
+
+// dial hangs while the way is cut or the host is off, like real connections.
+func (n *network) dial(ctx context.Context, from, to string) (net.Conn, error) {
+	stop := context.AfterFunc(ctx, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.cond.Broadcast()
+	})
+	defer stop()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for {
+		if ctx.Err() != nil || n.ended {
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+		}
+		host, known := n.owner[to]
+		if known && !n.cuts[[2]string{from, host}] {
+			l := n.lis[to]
+			if l == nil {
+				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: io.EOF}
+			}
+			a := &conn{n: n, from: from, to: host, cond: sync.NewCond(&n.mu)}
+			b := &conn{n: n, from: host, to: from, cond: sync.NewCond(&n.mu)}
+			a.peer, b.peer = b, a
+			n.conns[a], n.conns[b] = true, true
+			go a.pump()
+			go b.pump()
+			l.queue = append(l.queue, b)
+			n.cond.Broadcast()
+			return a, nil
+		}
+		n.cond.Wait()
+	}
+}
+
+type packet struct {
+	at   time.Time
+	data []byte
+}
+
+// conn is one end. Its out queue is pumped into the peer's in buffer.
+type conn struct {
+	n        *network
+	cond     *sync.Cond
+	from, to string
+	peer     *conn
+	out      []packet
+	in       []byte
+	eof      bool // the peer closed and all it sent has come
+	closed   bool
+	broken   bool
+	deadline time.Time
+	timer    *time.Timer
+}
+
+func (c *conn) kill() {
+	c.broken, c.peer.broken = true, true
+	delete(c.n.conns, c)
+	delete(c.n.conns, c.peer)
+	c.cond.Broadcast()
+	c.peer.cond.Broadcast()
+}
+
+func (c *conn) pump() {
+	n := c.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for !c.broken && !n.ended {
+		if len(c.out) == 0 {
+			if c.closed {
+				c.peer.eof = true
+				c.peer.cond.Broadcast()
+				if c.eof {
+					delete(n.conns, c)
+					delete(n.conns, c.peer)
+				}
+				return
+			}
+			c.cond.Wait()
+			continue
+		}
+		if wait := time.Until(c.out[0].at); wait > 0 {
+			n.mu.Unlock()
+			time.Sleep(wait)
+			n.mu.Lock()
+			continue
+		}
+		if n.cuts[[2]string{c.from, c.to}] {
+			c.cond.Wait()
+			continue
+		}
+		c.peer.in = append(c.peer.in, c.out[0].data...)
+		c.out = c.out[1:]
+		c.peer.cond.Broadcast()
+	}
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	if c.closed || c.broken {
+		return 0, net.ErrClosed
+	}
+	delay := time.Millisecond + time.Duration(c.n.rnd.IntN(2000))*time.Microsecond
+	c.out = append(c.out, packet{time.Now().Add(delay), append([]byte(nil), b...)})
+	c.cond.Broadcast()
+	return len(b), nil
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	for {
+		switch {
+		case c.closed:
+			return 0, net.ErrClosed
+		case len(c.in) > 0:
+			n := copy(b, c.in)
+			c.in = c.in[n:]
+			return n, nil
+		case c.broken:
+			return 0, io.ErrUnexpectedEOF
+		case c.eof:
+			return 0, io.EOF
+		case !c.deadline.IsZero() && !time.Now().Before(c.deadline):
+			return 0, os.ErrDeadlineExceeded
+		}
+		c.cond.Wait()
+	}
+}
+
+func (c *conn) Close() error {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	c.closed = true
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	c.cond.Broadcast()
+	return nil
+}
+
+func (c *conn) LocalAddr() net.Addr              { return addr(c.from) }
+func (c *conn) RemoteAddr() net.Addr             { return addr(c.to) }
+func (c *conn) SetWriteDeadline(time.Time) error { return nil }
+func (c *conn) SetDeadline(t time.Time) error    { return c.SetReadDeadline(t) }
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	c.deadline = t
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	if !t.IsZero() {
+		c.timer = time.AfterFunc(time.Until(t), func() {
+			c.n.mu.Lock()
+			defer c.n.mu.Unlock()
+			c.cond.Broadcast()
+		})
+	}
+	c.cond.Broadcast()
+	return nil
+}
--- /dev/null
+++ b/internal/sim/services_test.go
@@ -0,0 +1,277 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"rillflow/internal/wire"
+)
+
+func answer(w http.ResponseWriter, status int, v any) {
+	b, _ := json.Marshal(v)
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(status)
+	w.Write(b)
+}
+
+// store stands in for the state service.
+type store struct {
+	mu     sync.Mutex
+	cond   *sync.Cond
+	rnd    *rand.Rand
+	rev    uint64
+	keys   map[string]wire.Item
+	log    []wire.Change
+	grants map[uint64]time.Time
+	lives  map[uint64]time.Duration
+	next   uint64
+	down   bool
+	refuse map[string]bool // nodes that alone are refused
+	broke  func(string, ...any)
+}
+
+func newStore(rnd *rand.Rand, broke func(string, ...any)) *store {
+	s := &store{rnd: rnd, rev: 1, keys: map[string]wire.Item{}, grants: map[uint64]time.Time{}, lives: map[uint64]time.Duration{}, refuse: map[string]bool{}, broke: broke}
+	s.cond = sync.NewCond(&s.mu)
+	return s
+}
+
+func (s *store) outage(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = on
+	for t, life := range s.lives {
+		if !on && !s.grants[t].IsZero() {
+			s.grants[t] = time.Now().Add(life)
+		}
+	}
+	s.cond.Broadcast()
+}
+
+// expire ends grants that ran out; run it with the lock held.
+func (s *store) expire() {
+	if s.down {
+		return
+	}
+	for t, at := range s.grants {
+		if time.Now().After(at) {
+			s.drop(t)
+		}
+	}
+}
+
+func (s *store) drop(ticket uint64) {
+	delete(s.grants, ticket)
+	for k, it := range s.keys {
+		if it.Ticket == ticket {
+			s.rev++
+			delete(s.keys, k)
+			s.log = append(s.log, wire.Change{Remove: k, Stamp: s.rev})
+		}
+	}
+	s.cond.Broadcast()
+}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	node, _, _ := strings.Cut(r.RemoteAddr, ":")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if s.down || s.refuse[node] {
+		answer(w, 503, wire.Error{Error: "trouble"})
+		return
+	}
+	q := r.URL.Query()
+	switch path := r.URL.Path; {
+	case path == "/commit":
+		var t wire.Commit
+		json.NewDecoder(r.Body).Decode(&t)
+		status, res := s.commit(t)
+		if s.rnd.IntN(100) == 0 {
+			panic(http.ErrAbortHandler) // executed, but the answer is lost
+		}
+		answer(w, status, res)
+	case path == "/store":
+		var p wire.Page
+		for k, it := range s.keys {
+			if strings.HasPrefix(k, q.Get("under")) && k > q.Get("after") {
+				p.Items = append(p.Items, it)
+			}
+		}
+		slices.SortFunc(p.Items, func(a, b wire.Item) int { return strings.Compare(a.Path, b.Path) })
+		if len(p.Items) > 10 {
+			p.Items, p.More = p.Items[:10], true
+		}
+		p.Generation = s.rev
+		answer(w, 200, p)
+	case strings.HasPrefix(path, "/store/"):
+		if it, ok := s.keys[path[len("/store/"):]]; ok {
+			answer(w, 200, it)
+		} else {
+			answer(w, 404, wire.Page{Generation: s.rev})
+		}
+	case path == "/changes":
+		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+		ms, _ := strconv.Atoi(q.Get("wait_ms"))
+		end := time.Now().Add(time.Duration(ms) * time.Millisecond)
+		timer := time.AfterFunc(time.Until(end), func() { s.mu.Lock(); defer s.mu.Unlock(); s.cond.Broadcast() })
+		defer timer.Stop()
+		for {
+			var l wire.ChangeLog
+			for _, c := range s.log {
+				if c.Stamp > after && strings.HasPrefix(c.Put+c.Remove, q.Get("under")) {
+					l.Log = append(l.Log, c)
+				}
+			}
+			if !s.down && !s.refuse[node] && (len(l.Log) > 0 || !time.Now().Before(end)) {
+				l.Generation = s.rev
+				answer(w, 200, l)
+				return
+			}
+			if r.Context().Err() != nil {
+				return
+			}
+			s.cond.Wait()
+			s.expire()
+		}
+	case path == "/grants":
+		var g wire.Grant
+		json.NewDecoder(r.Body).Decode(&g)
+		s.next++
+		life := time.Duration(g.LifeMS) * time.Millisecond
+		s.grants[s.next], s.lives[s.next] = time.Now().Add(life), life
+		answer(w, 200, wire.Grant{Ticket: s.next})
+	default:
+		f := strings.Split(path, "/")
+		t, _ := strconv.ParseUint(f[2], 10, 64)
+		if s.grants[t].IsZero() {
+			answer(w, 404, struct{}{})
+			return
+		}
+		if r.Method == http.MethodDelete {
+			s.drop(t)
+		} else {
+			s.grants[t] = time.Now().Add(s.lives[t])
+		}
+		answer(w, 200, struct{}{})
+	}
+}
+
+func (s *store) commit(t wire.Commit) (int, any) {
+	if len(t.Apply) > 16 || len(t.Guards) > 64 {
+		s.broke("a transaction of %d changes and %d guards", len(t.Apply), len(t.Guards))
+	}
+	var failed []string
+	for _, g := range t.Guards {
+		if s.keys[g.Path].Stamp != g.Stamp {
+			failed = append(failed, g.Path)
+		}
+	}
+	if len(failed) > 0 {
+		return 409, wire.Committed{Failed: failed, Generation: s.rev}
+	}
+	for _, c := range t.Apply {
+		if c.Ticket != 0 && s.grants[c.Ticket].IsZero() {
+			return 400, wire.Error{Error: "no such lease"}
+		}
+	}
+	s.rev++
+	for _, c := range t.Apply {
+		if len(c.Data) > 16<<10 {
+			s.broke("a value of %d bytes", len(c.Data))
+		}
+		c.Stamp = s.rev
+		if c.Put != "" {
+			s.keys[c.Put] = wire.Item{Path: c.Put, Data: c.Data, Stamp: s.rev, Ticket: c.Ticket}
+		} else {
+			delete(s.keys, c.Remove)
+		}
+		s.log = append(s.log, c)
+	}
+	s.cond.Broadcast()
+	return 200, wire.Committed{Generation: s.rev}
+}
+
+// cloud stands in for the cloud. Machines come up after a while; the list is
+// two seconds old.
+type cloud struct {
+	w     *world
+	mu    sync.Mutex
+	types []wire.MachineType
+	asks  map[string][]string
+	hosts map[string]wire.ListedHost
+	seen  map[string]time.Time // when listed first
+	count map[string]int
+	next  int
+}
+
+func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch r.URL.Path {
+	case "/machine_types":
+		answer(w, 200, wire.MachineTypes{Flavors: c.types})
+	case "/hosts/release":
+		var l wire.HostNames
+		json.NewDecoder(r.Body).Decode(&l)
+		for _, n := range l.Hosts {
+			if h, ok := c.hosts[n]; ok {
+				c.count[h.Flavor+h.Locale]--
+				delete(c.hosts, n)
+				c.w.stop(n)
+			}
+		}
+		answer(w, 200, struct{}{})
+	case "/hosts":
+		if r.Method == http.MethodGet {
+			var l wire.HostList
+			for n, h := range c.hosts {
+				if time.Since(c.seen[n]) > 2*time.Second {
+					l.Hosts = append(l.Hosts, h)
+				}
+			}
+			slices.SortFunc(l.Hosts, func(a, b wire.ListedHost) int { return strings.Compare(a.Ref, b.Ref) })
+			answer(w, 200, l)
+			return
+		}
+		var q wire.Rent
+		json.NewDecoder(r.Body).Decode(&q)
+		if names, ok := c.asks[q.Ask]; ok {
+			answer(w, 200, wire.HostNames{Hosts: names})
+			return
+		}
+		var names []string
+		for len(names) < q.HowMany && c.count[q.Flavor+q.Locale] < 3 {
+			c.count[q.Flavor+q.Locale]++
+			c.next++
+			n := fmt.Sprintf("i-%06d", c.next)
+			h := wire.ListedHost{Ref: n, Address: n + ":9000", Flavor: q.Flavor, Locale: q.Locale, Loaners: q.Loaners, Phase: wire.HostStarting}
+			c.hosts[n], c.seen[n] = h, time.Now()
+			names = append(names, n)
+			time.AfterFunc(3*time.Second, func() { c.up(n) })
+		}
+		if len(names) == 0 {
+			answer(w, 503, wire.Error{Error: "no capacity"})
+			return
+		}
+		c.asks[q.Ask] = names
+		answer(w, 200, wire.HostNames{Hosts: names})
+	}
+}
+
+func (c *cloud) up(n string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h, ok := c.hosts[n]; ok && !c.w.ended() {
+		h.Phase = wire.Running
+		c.hosts[n] = h
+		c.w.start(h)
+	}
+}
--- /dev/null
+++ b/internal/sim/sim_test.go
@@ -0,0 +1,466 @@
+package sim
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rillflow/internal/ledger"
+	"rillflow/internal/serve"
+	"rillflow/internal/settings"
+	"rillflow/internal/wire"
+)
+
+const (
+	nodes  = 3
+	report = 3 * time.Second
+	lease  = 24 * time.Second
+	cancel = 40 * time.Second
+)
+
+func front(n int) string { return fmt.Sprintf("front-%d:80", n) }
+func back(n int) string  { return fmt.Sprintf("back-%d:81", n) }
+
+// world knows what is true, and checks the rules against it.
+type world struct {
+	t   testing.TB
+	net *network
+	ctx context.Context
+	wg  sync.WaitGroup
+
+	mu       sync.Mutex
+	rnd      *rand.Rand
+	workers  map[string]*worker
+	jobs     map[string]wire.Job
+	where    map[ledger.Task]string // host that a task is on
+	done     map[ledger.Task]bool
+	told     map[string]string    // last phase told, by job
+	gone     map[string]time.Time // withdrawn as told
+	starts   int
+	breaches []string
+}
+
+func (w *world) intN(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rnd.IntN(n)
+}
+
+func (w *world) ended() bool { return w.ctx.Err() != nil }
+
+func (w *world) broke(format string, a ...any) {
+	w.breaches = append(w.breaches, fmt.Sprintf(format, a...))
+}
+
+// on notes a task's start and checks the rules that a start can break.
+func (w *world) on(id ledger.Task, h wire.ListedHost) wire.Job {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.starts++
+	j, ok := w.jobs[id.Ref]
+	if !ok {
+		w.broke("%s started, which nobody submitted", id)
+		return j
+	}
+	if other := w.where[id]; other != "" {
+		w.broke("ran_twice: %s starts on %s while on %s", id, h.Ref, other)
+	}
+	w.where[id] = h.Ref
+	if at, ok := w.gone[id.Ref]; ok && time.Since(at) > cancel {
+		w.broke("ran_cancelled: %s starts %v after", id, time.Since(at))
+	}
+	if h.Loaners && !j.Loaners {
+		w.broke("wrong_place: %s on a spot machine", id)
+	}
+	used, zone := 0.0, 0
+	for other, host := range w.where {
+		if o := w.jobs[other.Ref]; o.Owner == j.Owner {
+			used += o.Cores
+		}
+		if k := w.workers[host]; other.Ref == id.Ref && k != nil && k.h.Locale == h.Locale {
+			zone++
+		}
+	}
+	if used > limit {
+		w.broke("quota: %v CPUs of %s", used, j.Owner)
+	}
+	if j.Scatter && zone > (j.Members+1)/2 {
+		w.broke("wrong_place: %d of %d tasks of %s in a zone", zone, j.Members, id.Ref)
+	}
+	return j
+}
+
+func (w *world) off(member, host string) {
+	id, _ := ledger.ParseTask(member)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if at, ok := w.gone[id.Ref]; ok && time.Since(at) > cancel {
+		w.broke("ran_cancelled: %s was on %s %v after", id, host, time.Since(at))
+	}
+	if w.where[id] == host {
+		delete(w.where, id)
+	}
+}
+
+func (w *world) complete(id ledger.Task) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.done[id] = true
+}
+
+func (w *world) start(h wire.ListedHost) {
+	ctx, cancel := context.WithCancel(w.ctx)
+	k := &worker{w: w, h: h, cancel: cancel, tenure: 1, sent: time.Now(), tasks: map[string]*task{}, node: w.intN(nodes), wake: make(chan struct{}, 1),
+		client: &http.Client{Transport: &http.Transport{DialContext: w.net.at(h.Ref).Dial}}}
+	w.mu.Lock()
+	w.workers[h.Ref] = k
+	w.mu.Unlock()
+	w.wg.Go(func() { k.run(ctx); k.client.CloseIdleConnections() })
+}
+
+// stop takes a machine away with all that is on it.
+func (w *world) stop(name string) {
+	w.mu.Lock()
+	k := w.workers[name]
+	w.mu.Unlock()
+	if k == nil {
+		return
+	}
+	k.cancel()
+	w.net.reset(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.clear()
+	k.sent = time.Now().Add(time.Hour) // it is off: nothing happens there any more
+}
+
+const limit = 24.0
+
+func (w *world) settings(n int) *settings.Settings {
+	op, err := settings.ParseOperator(nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	s := &settings.Settings{
+		Node: fmt.Sprintf("host-%d", n), Front: front(n), Back: back(n), Operator: op,
+		Services: settings.Services{Cloud: "cloud:1", State: "state:1"},
+		Facts: settings.Facts{
+			Teams:     []settings.Team{{Name: "a", CPUs: 8, CPUsMax: limit}, {Name: "b", CPUs: 8, CPUsMax: limit}},
+			Workers:   settings.Workers{ReportS: report.Seconds(), LeaseS: lease.Seconds(), CancelS: cancel.Seconds()},
+			State:     settings.State{RPS: 200, WriteRPS: 50, ValueKB: 16, TxnOps: 16},
+			Cloud:     settings.Cloud{RPS: 5, ListLagS: 2},
+			Resources: settings.Resources{CPUShare: 0.1, MemoryMB: 100, Sockets: 500},
+		},
+	}
+	for m := range nodes {
+		if m != n {
+			s.Members = append(s.Members, settings.Member{Node: fmt.Sprintf("host-%d", m), Endpoint: back(m)})
+		}
+	}
+	return s
+}
+
+// node runs a controller's process: it is killed without warning, and comes
+// back after a while.
+type node struct {
+	w    *world
+	n    int
+	kill context.CancelFunc
+	over chan struct{}
+}
+
+func (w *world) boot(n int) *node {
+	ctx, kill := context.WithCancel(context.Background())
+	c := &node{w: w, n: n, kill: kill, over: make(chan struct{})}
+	level := slog.LevelError
+	if os.Getenv("SIM_LOG") != "" {
+		level = slog.LevelDebug
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	set := w.settings(n)
+	go func() {
+		defer close(c.over)
+		serve.Run(ctx, set, w.net.at(set.Node), log.With("node", set.Node))
+	}()
+	return c
+}
+
+func (c *node) crash() {
+	name := fmt.Sprintf("host-%d", c.n)
+	c.w.net.reset(name)
+	for _, o := range []string{"state", "cloud"} {
+		c.w.net.cut(name, o, true) // a killed process says no goodbye
+	}
+	c.kill()
+	<-c.over
+	c.w.net.reset(name)
+	for _, o := range []string{"state", "cloud"} {
+		c.w.net.cut(name, o, false)
+	}
+}
+
+// user submits a job, polls it, and may withdraw it.
+func (w *world) user(ctx context.Context, j wire.Job, withdraw time.Duration) {
+	client := &http.Client{Transport: &http.Transport{DialContext: w.net.at("user").Dial, DisableKeepAlives: true}}
+	body, _ := json.Marshal(map[string]any{
+		"ref": j.Ref, "jobclass": j.Class, "owner": j.Owner, "shape": j.Shape, "rank": j.Rank, "members": j.Members, "cores": j.Cores,
+		"accelerators": 0, "ram_gb": j.RAM, "bundle": j.Bundle, "size_gb": 1, "same_place": false, "scatter": j.Scatter, "loaners": j.Loaners,
+		"expect_s": j.ExpectS, "snapshot_s": 0, "flush_s": 0,
+	})
+	ask := func(method, path string, body []byte) (int, string) {
+		rctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+		defer cancel()
+		req, _ := http.NewRequestWithContext(rctx, method, "http://"+front(w.intN(nodes))+path, bytes.NewReader(body))
+		res, err := client.Do(req)
+		if err != nil {
+			return 0, ""
+		}
+		defer res.Body.Close()
+		var p wire.Phase
+		b, _ := io.ReadAll(res.Body)
+		json.Unmarshal(b, &p)
+		return res.StatusCode, p.Phase
+	}
+	start := time.Now()
+	accepted := false
+	for ctx.Err() == nil {
+		var status int
+		var phase string
+		switch {
+		case !accepted:
+			status, phase = ask("POST", "/v1/jobs", body)
+			if status == 400 || status == 422 {
+				w.mu.Lock()
+				w.broke("%s was refused: %d", j.Ref, status)
+				w.mu.Unlock()
+			}
+			accepted = status == 200 || status == 201
+		case withdraw > 0 && time.Since(start) > withdraw:
+			status, phase = ask("POST", "/v1/jobs/"+j.Ref+"/withdraw", nil)
+		default:
+			status, phase = ask("GET", "/v1/jobs/"+j.Ref, nil)
+		}
+		w.mu.Lock()
+		if accepted && status == 404 {
+			w.broke("forgotten: %s", j.Ref)
+		}
+		if was := w.told[j.Ref]; (was == wire.Done || was == wire.Withdrawn) && phase != "" && phase != was {
+			w.broke("went_back: %s from %s to %s", j.Ref, was, phase)
+		}
+		if phase != "" {
+			w.told[j.Ref] = phase
+		}
+		if phase == wire.Withdrawn {
+			if withdraw == 0 {
+				w.broke("went_back: %s called withdrawn", j.Ref)
+			}
+			if w.gone[j.Ref].IsZero() {
+				w.gone[j.Ref] = time.Now()
+			}
+		}
+		if phase == wire.Done {
+			for i := range j.Members {
+				if !w.done[ledger.Task{Ref: j.Ref, Index: i}] {
+					w.broke("not_done: %s/%d", j.Ref, i)
+				}
+			}
+		}
+		w.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(2*time.Second + time.Duration(w.intN(int(2*time.Second)))):
+		}
+	}
+}
+
+// play plays a day and returns the rules it broke. Faults are drawn from the
+// seed; after them there is time to recover.
+func play(t testing.TB, seed uint64, tamper func(*world)) (breaches []string, w *world) {
+	rnd := rand.New(rand.NewPCG(seed, 7))
+	ctx, stop := context.WithCancel(context.Background())
+	w = &world{t: t, ctx: ctx, rnd: rnd, net: newNetwork(rand.New(rand.NewPCG(seed, 8))), workers: map[string]*worker{}, jobs: map[string]wire.Job{},
+		where: map[ledger.Task]string{}, done: map[ledger.Task]bool{}, told: map[string]string{}, gone: map[string]time.Time{}}
+	st := newStore(rand.New(rand.NewPCG(seed, 9)), w.broke)
+	cl := &cloud{w: w, asks: map[string][]string{}, hosts: map[string]wire.ListedHost{}, seen: map[string]time.Time{}, count: map[string]int{},
+		types: []wire.MachineType{{Label: "m", Cores: 8, RAM: 32, LocalGB: 20, PullRate: 1, Rate: 1, SpotPrice: 0.5, ReadyS: 3, Locales: []string{"a", "b"}}}}
+	var servers []*http.Server
+	for host, h := range map[string]http.Handler{"state": st, "cloud": cl} {
+		srv := &http.Server{Handler: h, ErrorLog: log.New(io.Discard, "", 0)}
+		servers = append(servers, srv)
+		go srv.Serve(w.net.listen(host, host+":1"))
+	}
+	var cs [nodes]*node
+	for n := range nodes {
+		cs[n] = w.boot(n)
+	}
+	for i := range 14 {
+		j := wire.Job{Ref: fmt.Sprintf("req-%06d", i), Class: "c", Owner: []string{"a", "b"}[i%2], Shape: wire.Batch, Rank: "standard",
+			Members: 1 + rnd.IntN(8), Cores: float64(1 + rnd.IntN(3)), RAM: 2, Bundle: "img", Loaners: i%3 == 0, ExpectS: float64(3 + rnd.IntN(20))}
+		if i%3 == 1 {
+			j.Shape, j.Rank, j.Members, j.Cores, j.Scatter = wire.Standing, "production", 2, 1, true
+		}
+		withdraw := time.Duration(0)
+		if j.Shape == wire.Standing || i%5 == 0 {
+			withdraw = time.Duration(40+rnd.IntN(100)) * time.Second
+		}
+		delay := time.Duration(rnd.IntN(120)) * time.Second
+		w.jobs[j.Ref] = j
+		w.wg.Go(func() {
+			select {
+			case <-ctx.Done():
+			case <-time.After(delay):
+				w.user(ctx, j, withdraw)
+			}
+		})
+	}
+	if tamper != nil {
+		tamper(w)
+	}
+	time.Sleep(15 * time.Second)
+	for range 8 {
+		n := rnd.IntN(nodes)
+		name := fmt.Sprintf("host-%d", n)
+		switch rnd.IntN(7) {
+		case 0, 1:
+			cs[n].crash()
+			time.Sleep(8 * time.Second)
+			cs[n] = w.boot(n)
+		case 2:
+			st.outage(true)
+			time.Sleep(time.Duration(5+rnd.IntN(30)) * time.Second)
+			st.outage(false)
+		case 3: // held packets between a controller and the state service
+			w.net.cut(name, "state", true)
+			time.Sleep(time.Duration(5+rnd.IntN(30)) * time.Second)
+			w.net.cut(name, "state", false)
+		case 4: // a machine is cut from all controllers, for longer than its lease or not
+			cl.mu.Lock()
+			var host string
+			for h := range cl.hosts {
+				if host == "" || h < host {
+					host = h
+				}
+			}
+			cl.mu.Unlock()
+			for m := range nodes {
+				w.net.cut(fmt.Sprintf("host-%d", m), host, true)
+			}
+			time.Sleep(time.Duration(5+rnd.IntN(40)) * time.Second)
+			for m := range nodes {
+				w.net.cut(fmt.Sprintf("host-%d", m), host, false)
+			}
+		case 5: // a controller is refused alone
+			st.mu.Lock()
+			st.refuse[name] = true
+			st.mu.Unlock()
+			time.Sleep(time.Duration(5+rnd.IntN(30)) * time.Second)
+			st.mu.Lock()
+			st.refuse[name] = false
+			st.cond.Broadcast()
+			st.mu.Unlock()
+		case 6: // peers are cut from one another
+			for m := range nodes {
+				if m != n {
+					w.net.cut(name, fmt.Sprintf("host-%d", m), true)
+				}
+			}
+			time.Sleep(time.Duration(5+rnd.IntN(20)) * time.Second)
+			for m := range nodes {
+				if m != n {
+					w.net.cut(name, fmt.Sprintf("host-%d", m), false)
+				}
+			}
+		}
+		time.Sleep(time.Duration(rnd.IntN(6)) * time.Second)
+	}
+	time.Sleep(150 * time.Second)
+	stop()
+	for _, c := range cs {
+		c.kill()
+	}
+	st.outage(false)
+	w.net.end()
+	for _, srv := range servers {
+		srv.Close()
+	}
+	for _, c := range cs {
+		<-c.over
+	}
+	w.wg.Wait()
+	st.mu.Lock()
+	st.cond.Broadcast()
+	st.mu.Unlock()
+	for _, k := range w.workers {
+		k.mu.Lock()
+		for _, x := range k.tasks {
+			if x.timer != nil {
+				x.timer.Stop()
+			}
+		}
+		k.mu.Unlock()
+	}
+	time.Sleep(2 * lease) // what still sleeps or waits comes to its end
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.breaches, w
+}
+
+func TestRulesHold(t *testing.T) {
+	seeds := uint64(8)
+	if n, err := strconv.ParseUint(os.Getenv("SIM_SEEDS"), 10, 64); err == nil {
+		seeds = n
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				breaches, w := play(t, seed, nil)
+				for _, b := range breaches {
+					t.Error(b)
+				}
+				for ref, j := range w.jobs {
+					want := wire.Done
+					if j.Shape == wire.Standing {
+						want = wire.Withdrawn
+					}
+					if got := w.told[ref]; got != wire.Done && got != wire.Withdrawn {
+						t.Errorf("%s is %q at the end, want %s: recovery took too long", ref, got, want)
+					}
+				}
+				if w.starts == 0 {
+					t.Error("no task ran")
+				}
+			})
+		})
+	}
+}
+
+// The checks themselves can fail: a job that nobody submitted to the world, and
+// a task that is said to be elsewhere, are both found.
+func TestChecksCanFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		breaches, _ := play(t, 1, func(w *world) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			for ref, j := range w.jobs {
+				for i := range j.Members {
+					w.where[ledger.Task{Ref: ref, Index: i}] = "elsewhere"
+				}
+			}
+		})
+		if len(breaches) == 0 {
+			t.Error("tasks that ran twice were not noticed")
+		}
+	})
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -56,15 +56,15 @@
 	RPS      float64
 	WriteRPS float64
 	Timeout  time.Duration
+	Dial     func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // New makes a client.
 func New(o Options) *Client {
-	d := &net.Dialer{Timeout: o.Timeout}
 	return &Client{
 		base: "http://" + o.Addr,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         d.DialContext,
+			DialContext:         o.Dial,
 			MaxIdleConnsPerHost: 16,
 			MaxConnsPerHost:     64,
 			IdleConnTimeout:     time.Minute,
