--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -248,8 +248,12 @@
 		if len(q.jobs) == 0 {
 			continue
 		}
+		order := make(map[*ledger.Job]urgency, len(q.jobs))
+		for _, j := range q.jobs {
+			order[j] = r.urgency(j, now)
+		}
 		slices.SortFunc(q.jobs, func(a, b *ledger.Job) int {
-			return cmp.Or(due(a).Compare(due(b)), a.At.Compare(b.At), cmp.Compare(a.Ref, b.Ref))
+			return cmp.Or(order[a].compare(order[b]), a.At.Compare(b.At), cmp.Compare(a.Ref, b.Ref))
 		})
 		qs = append(qs, q)
 	}
@@ -257,12 +261,34 @@
 	return qs
 }
 
-// due orders jobs within a type: by deadline, or by age where there is none.
-func due(j *ledger.Job) time.Time {
-	if j.Spec.DueS > 0 {
-		return j.At.Add(time.Duration(j.Spec.DueS * float64(time.Second)))
+// urgency orders jobs within a type.
+type urgency struct {
+	stage int     // how many of the times its users named have become out of reach
+	work  float64 // core-seconds left
+}
+
+// urgency looks at the times by which the job's users want it: its deadline,
+// and the objectives of its class. A time that can no longer be met is past
+// helping, so those that still can go first; among them the job with the least
+// work left, for then the most jobs are in time when there is not room for all.
+func (r *reign) urgency(j *ledger.Job, now time.Time) urgency {
+	u := urgency{work: float64(j.Unfinished()) * max(j.Spec.Cores, 1) * max(j.Spec.ExpectS, 1)}
+	done := now.Sub(j.At).Seconds() + j.Spec.ExpectS
+	for _, o := range r.set.Facts.Objectives {
+		if o.Class != j.Spec.Class {
+			continue
+		}
+		switch {
+		case o.Kind == "finished" && done > o.WithinS,
+			o.Kind == "deadline" && j.Spec.DueS > 0 && done > j.Spec.DueS*max(o.Times, 1):
+			u.stage++
+		}
 	}
-	return j.At
+	return u
+}
+
+func (u urgency) compare(v urgency) int {
+	return cmp.Or(cmp.Compare(u.stage, v.stage), cmp.Compare(u.work, v.work))
 }
 
 // usable tells whether a host may take new tasks.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,6 +67,7 @@
 	Class   string  `toml:"class"`
 	WithinS float64 `toml:"within_s"`
 	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"` // of a deadline
 }
 
 // Workers are the figures of the worker protocol.
