Fleet: replicas move only where they start in time; their room is counted together

Cause: machines were drained whose replicas then had no place, so that one stood half empty for 110 s of the evening.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -185,11 +185,7 @@
 		Standing: s.Shape == wire.Standing, Loaners: s.Loaners, Flavors: s.Flavors,
 		Avoid: slices.Sorted(maps.Keys(j.FailedOn)),
 	}
-	for _, o := range r.set.Facts.Objectives {
-		if o.Kind == "wait" && o.Class == s.Class {
-			w.Within = o.WithinS
-		}
-	}
+	w.Within = r.within(j)
 	if w.Standing {
 		for _, m := range rooms {
 			if m.h.HasImage(s.Bundle) && m.fits(j) && !slices.Contains(w.Warm, m.h.Zone) {
@@ -261,6 +257,17 @@
 	return qs
 }
 
+// within is how soon a job's users want its tasks started, in seconds; 0 if they
+// name no time.
+func (r *reign) within(j *ledger.Job) float64 {
+	for _, o := range r.set.Facts.Objectives {
+		if o.Kind == "wait" && o.Class == j.Spec.Class {
+			return o.WithinS
+		}
+	}
+	return 0
+}
+
 // urgency orders jobs within a type.
 type urgency struct {
 	stage int     // how many of the times its users named have become out of reach
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -195,7 +195,7 @@
 }
 
 // drain marks machines that are to empty, and moves replicas off them, one at a
-// time and each to a machine that has its image, so that little of the service
+// time and each to a machine where it starts at once, so that little of the service
 // is gone and only for a moment.
 func (r *reign) drain(plan fleet.Plan, now time.Time) {
 	for _, name := range plan.Drain {
@@ -221,7 +221,7 @@
 		for _, c := range r.led.OnHost(h.Name) {
 			j := c.Job
 			if len(moved) >= 1 || moved[j.Ref] || c.Stopping || !r.settled(c, now) || j.Spec.Shape != wire.Standing ||
-				j.Active() < j.Spec.Members || !r.elsewhere(c, rooms, true) {
+				j.Active() < j.Spec.Members || !r.elsewhere(c, rooms) {
 				continue
 			}
 			moved[j.Ref] = true
@@ -237,12 +237,12 @@
 	return !c.Running.IsZero() && now.Sub(c.Running) > 2*r.set.Lease()
 }
 
-// elsewhere tells whether a replica has a warm place on another machine, and
-// takes the place from the rooms if asked to.
-func (r *reign) elsewhere(c *ledger.Held, rooms []*room, take bool) bool {
+// elsewhere finds a replica a place on another machine, where it starts as soon
+// as its users want it to, and takes the place from the rooms.
+func (r *reign) elsewhere(c *ledger.Held, rooms []*room) bool {
 	j := c.Job
 	for _, m := range rooms {
-		if m.h.Name == c.Host || m.h.Draining || !m.fits(j) || !m.h.HasImage(j.Spec.Bundle) {
+		if m.h.Name == c.Host || m.h.Draining || !m.fits(j) || m.fetch(j) > 0.75*r.within(j) {
 			continue
 		}
 		free := r.led.ZoneRoom(j, m.h.Zone)
@@ -252,11 +252,9 @@
 		if free <= 0 {
 			continue
 		}
-		if take {
-			m.cores -= j.Spec.Cores
-			m.accel -= j.Spec.Accel
-			m.ram -= j.Spec.RAM
-		}
+		m.cores -= j.Spec.Cores
+		m.accel -= j.Spec.Accel
+		m.ram -= j.Spec.RAM
 		return true
 	}
 	return false
@@ -427,10 +425,15 @@
 			Up: !h.Heard.IsZero(), Leaving: leaving || !h.WarnAt.IsZero() || r.badHost(h),
 			Draining: h.Draining, Movable: true, Asked: h.Asked,
 		}
+		free := slices.Clone(rooms)
+		for i := range free {
+			c := *free[i] // together they take more room than each alone
+			free[i] = &c
+		}
 		for _, c := range r.led.OnHost(h.Name) {
 			if c.Job.Spec.Shape == wire.Standing {
 				m.Replicas++
-				m.Movable = m.Movable && r.settled(c, now) && r.elsewhere(c, rooms, false)
+				m.Movable = m.Movable && r.settled(c, now) && r.elsewhere(c, free)
 			}
 		}
 		if m.Up && len(h.Members) == 0 && len(r.led.OnHost(h.Name)) == 0 {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -190,7 +190,7 @@
 func (p *Planner) frugal(types map[string]*wire.MachineType, ms []Machine, need Need, now time.Time) (plan Plan) {
 	p.smooth(need, now)
 	spare := 1 + p.set.Operator.Fleet.Spare
-	steady := need.Steady*spare + need.Largest
+	steady := need.Steady + max(need.Largest, p.set.Operator.Fleet.Spare*need.Steady)
 	passing := max(need.Passing, p.passing) * spare
 	// What is drained may be wanted again before another is up: let go of it
 	// only when well above the need.
