--- a/internal/agent/host.go
+++ b/internal/agent/host.go
@@ -23,10 +23,8 @@
 	Epoch   uint64    // highest the worker says it has seen
 	Asked   time.Time // when it was rented
 	Running time.Time // when the list first showed it running
-	Listed  time.Time // when the list last showed it
 	Heard   time.Time // last beat that was answered
 	Polled  time.Time // last answer to a direct request
-	Seen    time.Time // first beat of this term
 	WarnAt  time.Time // when the cloud takes it away; zero: no notice
 
 	Members map[ledger.Task]Member
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"rillflow/internal/agent"
@@ -46,9 +47,6 @@
 	}
 	now := r.now()
 	h.Heard, r.heard = now, now
-	if h.Seen.IsZero() {
-		h.Seen = now
-	}
 	out := wire.Orders{Epoch: epoch, Orders: []wire.Order{}}
 	if h.Tenure == rep.Tenure && h.Tick == rep.Tick {
 		out.Orders = append(out.Orders, h.Orders(r.led.OnHost(h.Name), epoch, true)...)
@@ -369,7 +367,7 @@
 // typeOf is the type of a job for the placement rule.
 func (r *reign) typeOf(j *ledger.Job) string {
 	var s []byte
-	for _, f := range r.fields() {
+	for _, f := range r.set.Operator.Placement.Fields() {
 		switch f {
 		case "class":
 			s = append(s, j.Spec.Class...)
@@ -387,19 +385,12 @@
 	return string(s)
 }
 
-func (r *reign) fields() []string { return r.set.Operator.Placement.Fields() }
-
 // sortedHosts are the hosts by name, for decisions that repeat.
 func (r *reign) sortedHosts() []*agent.Host {
 	hs := make([]*agent.Host, 0, len(r.hosts))
 	for _, h := range r.hosts {
 		hs = append(hs, h)
 	}
-	slices.SortFunc(hs, func(a, b *agent.Host) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(hs, func(a, b *agent.Host) int { return strings.Compare(a.Name, b.Name) })
 	return hs
 }
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -331,7 +331,6 @@
 		if l.Phase == wire.Running && h.Running.IsZero() {
 			h.Running = now
 		}
-		h.Listed = now
 	}
 	for name, at := range r.gone {
 		if !at.IsZero() && !present[name] && now.Sub(at) > 4*lag+r.set.Lease() {
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -59,6 +59,7 @@
 // Encode gives a record or an ending as stored.
 func Encode(v any) (json.RawMessage, error) { return json.Marshal(v) }
 
-// ChunkTasks is how many tasks share a key: a claim takes up to 64 bytes,
-// and half of the value is left free.
-func ChunkTasks(valueKB float64) int { return max(8, int(valueKB*1024/128)) }
+// ChunkTasks is how many tasks share a key. A claim takes up to 64 bytes; the
+// rest of the value is left free, since the limit was seen to shrink to a
+// quarter while the service ran, and a value over it is refused for good.
+func ChunkTasks(valueKB float64) int { return max(8, int(valueKB*1024/256)) }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,7 +4,7 @@
 
 import "encoding/json"
 
-// Job is a submission. Pointers tell a missing field from a zero one.
+// Job is a submission that was checked, and as it is stored.
 type Job struct {
 	Ref       string   `json:"ref"`
 	Class     string   `json:"jobclass"`
