--- a/internal/agent/host.go
+++ b/internal/agent/host.go
@@ -24,6 +24,7 @@
 	Asked   time.Time // when it was rented
 	Running time.Time // when the list first showed it running
 	Heard   time.Time // last beat that was answered
+	Polling bool
 	Polled  time.Time // last answer to a direct request
 	WarnAt  time.Time // when the cloud takes it away; zero: no notice
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -114,7 +114,7 @@
 	close(r.ready)
 	for _, duty := range []func(context.Context) error{
 		func(ctx context.Context) error { return r.follow(ctx, gen) },
-		r.flush, r.plan, r.tend, r.raise, r.rent, r.watchParts,
+		r.flush, r.plan, r.tend, r.raise, r.rent, r.reclaim, r.watchParts,
 	} {
 		g.Go(func() error { return duty(gctx) })
 	}
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -19,7 +19,7 @@
 func (r *reign) tend(ctx context.Context) error {
 	tick := time.NewTicker(r.set.Report() / 6)
 	defer tick.Stop()
-	for n := 0; ; n++ {
+	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -29,10 +29,7 @@
 		now := r.now()
 		r.expire(now)
 		deaf := r.deaf(now)
-		var poll []*agent.Host
-		if n%6 == 3 {
-			poll = r.strangers(now)
-		}
+		poll := r.strangers(now)
 		r.mu.Unlock()
 		kick(r.plans)
 		kick(r.flushes)
@@ -91,7 +88,8 @@
 		h := r.host(l.Ref)
 		strange := h.Heard.IsZero() && now.Sub(r.began) > r.set.Report()/2 ||
 			!h.Heard.IsZero() && now.Sub(h.Heard) > 3*r.set.Report()/2
-		if strange && len(hs) < 16 {
+		if strange && !h.Polling && len(hs) < 16 {
+			h.Polling = true
 			h.Address, h.Flavor, h.Zone, h.Loaners = l.Address, l.Flavor, l.Locale, l.Loaners
 			hs = append(hs, h)
 		}
@@ -106,6 +104,9 @@
 	addr := h.Address
 	r.mu.Unlock()
 	rep, err := r.direct.Status(ctx, addr)
+	r.mu.Lock()
+	h.Polling = false
+	r.mu.Unlock()
 	if err != nil {
 		return
 	}
@@ -123,8 +124,8 @@
 	}
 }
 
-// rent keeps the fleet: it reads the machine list, returns what is faulty or
-// idle, and rents what is needed.
+// rent keeps the fleet: it reads the machine list, returns what is idle, and
+// rents what is needed.
 func (r *reign) rent(ctx context.Context) error {
 	every := max(r.set.Report()/2, time.Duration(float64(time.Second)*4/r.set.Facts.Cloud.RPS))
 	for n := 0; ; n++ {
@@ -150,7 +151,33 @@
 	}
 }
 
-// adjust returns what is faulty or idle, drains what is too much, and rents
+// reclaim returns faulty machines. It has a duty of its own: what ran on a dead
+// machine waits for its return, and renting can take many requests.
+func (r *reign) reclaim(ctx context.Context) error {
+	for sleep(ctx, r.set.Report()/6) {
+		if !r.term.Sure(r.now()) {
+			continue
+		}
+		r.mu.Lock()
+		bad := r.faulty(r.now())
+		bad = bad[:min(len(bad), maxRelease)]
+		for _, name := range bad {
+			if r.gone[name].IsZero() {
+				r.gone[name] = time.Time{} // no new tasks from here on
+			}
+		}
+		r.mu.Unlock()
+		if len(bad) > 0 && r.term.Sure(r.now()) {
+			r.release(ctx, bad)
+		}
+	}
+	return ctx.Err()
+}
+
+// maxRelease is the protocol's limit on the names in a release.
+const maxRelease = 100
+
+// adjust returns what is idle, drains what is too much, and rents
 // what is needed, one request after the other: how much each brings shows only
 // in its answer.
 func (r *reign) adjust(ctx context.Context) {
@@ -158,9 +185,6 @@
 		r.mu.Lock()
 		now := r.now()
 		var bad []string
-		if n == 0 {
-			bad = r.faulty(now)
-		}
 		var plan fleet.Plan
 		if types := r.types.Types(); types != nil && now.Sub(r.began) > r.set.Report() {
 			plan = r.rents.Plan(types, r.machines(now), r.need(), now)
@@ -172,11 +196,9 @@
 				r.log.Info("returning", "host", name, "why", "idle")
 			}
 		}
-		bad = bad[:min(len(bad), 100)]
+		bad = bad[:min(len(bad), maxRelease)]
 		for _, name := range bad {
-			if r.gone[name].IsZero() {
-				r.gone[name] = time.Time{} // no new tasks from here on
-			}
+			r.gone[name] = time.Time{} // no new tasks from here on
 		}
 		r.drain(plan, now)
 		r.mu.Unlock()
@@ -194,8 +216,8 @@
 	}
 }
 
-// drain marks machines that are to empty, and moves replicas off them, one at a
-// time and each to a machine where it starts at once, so that little of the service
+// drain marks machines that are to empty, and moves replicas off them, a few at
+// a time and each to a machine where it starts at once, so that little of the service
 // is gone and only for a moment.
 func (r *reign) drain(plan fleet.Plan, now time.Time) {
 	for _, name := range plan.Drain {
@@ -220,7 +242,7 @@
 		}
 		for _, c := range r.led.OnHost(h.Name) {
 			j := c.Job
-			if len(moved) >= 1 || moved[j.Ref] || c.Stopping || !r.settled(c, now) || j.Spec.Shape != wire.Standing ||
+			if len(moved) >= 4 || moved[j.Ref] || c.Stopping || !r.settled(c, now) || j.Spec.Shape != wire.Standing ||
 				j.Active() < j.Spec.Members || !r.elsewhere(c, rooms) {
 				continue
 			}
@@ -237,12 +259,13 @@
 	return !c.Running.IsZero() && now.Sub(c.Running) > 2*r.set.Lease()
 }
 
-// elsewhere finds a replica a place on another machine, where it starts as soon
-// as its users want it to, and takes the place from the rooms.
+// elsewhere finds a replica a place on another machine that has its image, where
+// it is back within some 30 ms, and takes the place from the rooms. A fetch would
+// take it away for a second.
 func (r *reign) elsewhere(c *ledger.Held, rooms []*room) bool {
 	j := c.Job
 	for _, m := range rooms {
-		if m.h.Name == c.Host || m.h.Draining || !m.fits(j) || m.fetch(j) > 0.75*r.within(j) {
+		if m.h.Name == c.Host || m.h.Draining || !m.fits(j) || !m.h.HasImage(j.Spec.Bundle) {
 			continue
 		}
 		free := r.led.ZoneRoom(j, m.h.Zone)
@@ -342,7 +365,7 @@
 // faulty are machines to be returned: failed or silent ones, those that never
 // come up, and those that fail what they start.
 func (r *reign) faulty(now time.Time) []string {
-	silence := time.Duration(r.set.Operator.Fleet.Silence * float64(r.set.Lease()))
+	silence := time.Duration(r.set.Operator.Fleet.Silence * float64(r.set.Report()))
 	types := r.types.Types()
 	var out []string
 	silent := 0
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -191,10 +191,10 @@
 	p.smooth(need, now)
 	spare := 1 + p.set.Operator.Fleet.Spare
 	steady := need.Steady + max(need.Largest, p.set.Operator.Fleet.Spare*need.Steady)
-	// Room is rented for what is there, and let go of when well above what has
-	// been there lately: a machine costs its boot and more each time.
-	passing := need.Passing
-	ebb := spare * max(passing, p.passing)
+	passing := max(need.Passing, p.passing) * spare
+	// What is drained may be wanted again before another is up: let go of it
+	// only when well above the need.
+	ebb := spare * passing
 
 	var firm, spot float64
 	perZone := make(map[string]float64)
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -45,7 +45,7 @@
 // Fleet are the settings of renting.
 type Fleet struct {
 	Thrift  string  `xml:"thrift" validate:"oneof=auto always never"`
-	Silence float64 `xml:"silence" validate:"gt=0"`
+	Silence float64 `xml:"silence" validate:"gte=1.5"`
 	Spare   float64 `xml:"spare" validate:"gte=0"`
 	Idle    float64 `xml:"idle" validate:"gt=0"`
 }
