--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -469,7 +469,7 @@
 // need sums up the work on hand.
 func (r *reign) need() fleet.Need {
 	var n fleet.Need
-	seen := make(map[string]bool)
+	seen := make(map[string]int)
 	passing := make(map[string]float64)
 	for _, j := range r.led.Jobs() {
 		if j.Withdrawn || j.Finished {
@@ -485,10 +485,13 @@
 		}
 		n.Waiting += s.Cores * float64(j.WaitingTasks())
 		key := fmt.Sprint(s.Cores, s.Accel, s.RAM, s.Flavors, s.Locale, s.Loaners)
-		if !seen[key] {
-			seen[key] = true
+		k, ok := seen[key]
+		if !ok {
+			k = len(n.Tasks)
+			seen[key] = k
 			n.Tasks = append(n.Tasks, fleet.Shape{Cores: s.Cores, Accel: s.Accel, RAM: s.RAM, Flavors: s.Flavors, Zone: s.Locale, Loaners: s.Loaners})
 		}
+		n.Tasks[k].Weight += cores
 	}
 	for team, cores := range passing {
 		n.Passing += min(cores, r.led.Team(team).CPUsMax)
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -42,6 +42,7 @@
 	Flavors           []string
 	Zone              string
 	Loaners           bool
+	Weight            float64 // cores of such tasks on hand
 }
 
 // Fits tells whether a task fits an empty machine of a type.
@@ -50,6 +51,36 @@
 		(len(s.Flavors) == 0 || slices.Contains(s.Flavors, t.Label))
 }
 
+// holds is how many tasks an empty machine of a type holds.
+func (s Shape) holds(t *wire.MachineType) float64 {
+	n := math.Inf(1)
+	for _, q := range [][2]float64{{t.Cores, s.Cores}, {t.Accel, s.Accel}, {t.RAM, s.RAM}} {
+		if q[1] > 0 {
+			n = min(n, math.Floor(q[0]/q[1]+1e-6))
+		}
+	}
+	return n
+}
+
+// usable is the share of a type's cores that the tasks on hand can use, each
+// shape alone and by its weight.
+func (n Need) usable(t *wire.MachineType, loaners bool) float64 {
+	sum, weight := 0.0, 0.0
+	for _, s := range n.Tasks {
+		if s.Loaners != loaners {
+			continue
+		}
+		weight += s.Weight
+		if s.Fits(t) && s.Cores > 0 {
+			sum += s.Weight * s.holds(t) * s.Cores / t.Cores
+		}
+	}
+	if weight == 0 || sum == 0 {
+		return 1
+	}
+	return sum / weight
+}
+
 // offer is a type, zone and kind that can be rented.
 type offer struct {
 	flavor, zone string
@@ -131,8 +162,8 @@
 		now.Sub(m.Idle) >= time.Duration(p.set.Operator.Fleet.Idle*float64(settings.Seconds(t.ReadyS)))
 }
 
-// offers lists what can be rented now and would serve some task, cheapest core
-// first.
+// offers lists what can be rented now and would serve some task, the cheapest
+// first by the cores that the tasks on hand can use.
 func (p *Planner) offers(types map[string]*wire.MachineType, loaners bool, need Need, now time.Time) []offer {
 	var os []offer
 	for _, t := range types {
@@ -147,10 +178,11 @@
 	}
 	price := func(o offer) float64 {
 		t := types[o.flavor]
+		rate := t.Rate
 		if loaners {
-			return t.SpotPrice / t.Cores
+			rate = t.SpotPrice
 		}
-		return t.Rate / t.Cores
+		return rate / (t.Cores * need.usable(t, loaners))
 	}
 	slices.SortFunc(os, func(a, b offer) int {
 		return cmp.Or(cmp.Compare(price(a), price(b)), cmp.Compare(a.flavor, b.flavor), cmp.Compare(a.zone, b.zone))
