--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -290,7 +290,7 @@
 	}
 	r.rents.Answered(q, len(names), now)
 	if len(names) > 0 {
-		r.log.Info("rented", "flavor", q.Flavor, "zone", q.Locale, "loaners", q.Loaners, "asked", q.HowMany, "got", len(names))
+		r.log.Info("rented", "flavor", q.Flavor, "zone", q.Locale, "loaners", q.Loaners, "asked", q.HowMany, "got", len(names), "hosts", names)
 	}
 	for _, n := range names {
 		if _, ok := r.listed[n]; !ok {
@@ -479,11 +479,11 @@
 		cores := s.Cores * float64(j.Unfinished())
 		if s.Loaners {
 			passing[s.Owner] += cores
+			n.Queue += s.Cores * float64(min(j.WaitingTasks(), r.led.Headroom(j)))
 		} else {
 			n.Steady += cores
 			n.Largest = max(n.Largest, cores)
 		}
-		n.Waiting += s.Cores * float64(j.WaitingTasks())
 		key := fmt.Sprint(s.Cores, s.Accel, s.RAM, s.Flavors, s.Locale, s.Loaners)
 		k, ok := seen[key]
 		if !ok {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -31,7 +31,7 @@
 type Need struct {
 	Steady  float64 // work that may not run on spot machines
 	Passing float64 // work that may
-	Waiting float64 // the part of either that waits now
+	Queue   float64 // the part of it that waits now
 	Largest float64 // the largest service on hand: the next one may be like it
 	Tasks   []Shape // shapes of tasks on hand
 }
@@ -228,7 +228,7 @@
 	// only when well above the need.
 	ebb := spare * passing
 
-	var firm, spot float64
+	var firm, spot, ebbing float64
 	perZone := make(map[string]float64)
 	draining := 0
 	for _, m := range ms {
@@ -238,6 +238,7 @@
 		}
 		if m.Draining {
 			draining++
+			ebbing += t.Cores
 			if !m.Idle.IsZero() {
 				plan.Leave = append(plan.Leave, m.Name)
 			}
@@ -251,6 +252,11 @@
 		}
 	}
 
+	room := spot + max(0, firm-steady) // for passing work
+	if (firm < steady || room < passing) && ebbing > 0 {
+		plan.Keep = true // what drains is at hand at once
+		return plan
+	}
 	if lack := steady - firm; lack > 0 {
 		os := p.offers(types, false, need, now)
 		// Spread over zones: the zone with the least goes first.
@@ -258,14 +264,16 @@
 		plan.Rents = p.fill(plan.Rents, os, types, lack, false)
 		plan.Keep = true
 	}
-	if lack := passing - spot - max(0, firm-steady); lack > 0 {
+	if lack := passing - room; lack > 0 {
 		os := p.offers(types, true, need, now)
-		if len(os) == 0 && need.Waiting > 0 {
-			plan.Rents = p.fill(plan.Rents, p.offers(types, false, need, now), types, min(lack, need.Waiting), false)
-		} else {
+		if len(os) > 0 {
 			plan.Rents = p.fill(plan.Rents, os, types, lack, true)
+		} else if over := need.Queue - room; over > 0 {
+			// Firm machines for such work only when the queue is longer than
+			// what the room there is takes on in about a boot's time.
+			plan.Rents = p.fill(plan.Rents, p.offers(types, false, need, now), types, min(lack, over), false)
 		}
-		plan.Keep = plan.Keep || need.Waiting > 0
+		plan.Keep = true
 	}
 	if plan.Keep {
 		return plan
