--- a/internal/agent/host.go
+++ b/internal/agent/host.go
@@ -140,7 +140,13 @@
 		case c.Over || c.Tenure != h.Tenure:
 		case c.Job.Withdrawn || c.Stopping:
 			if m.Phase != wire.Ended {
-				stops = append(stops, wire.Order{Verb: wire.Stop, Member: t.String(), Try: c.Try})
+				o := wire.Order{Verb: wire.Stop, Member: t.String(), Try: c.Try}
+				if !c.Job.Withdrawn && m.Phase != wire.Flushing {
+					o.Wind = c.Job.Spec.FlushS // it goes on elsewhere: let it save
+				} else if !c.Job.Withdrawn {
+					continue
+				}
+				stops = append(stops, o)
 			}
 		case !there && c.Committed:
 			c.Sent, c.SentEpoch = true, epoch
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -91,6 +91,15 @@
 	if n > 0 {
 		kick(r.flushes)
 	}
+	if !passed {
+		left := make([]*room, 0, len(byName))
+		for _, m := range rooms {
+			if now := byName[m.h.Name]; now != nil {
+				left = append(left, now)
+			}
+		}
+		r.preempt(queues, left, r.now())
+	}
 	return n > 0 && passed
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -74,6 +74,8 @@
 	RetryAt  time.Time
 	Fails    int             // failures in a row
 	FailedOn map[string]bool // hosts where a task failed
+	// PreemptAt is when others may next be stopped for it; the caller's too.
+	PreemptAt time.Time
 	// Waiting is since when a task of it waits.
 	WaitingSince time.Time
 }
