--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,225 @@
+package control
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"rillflow/internal/agent"
+	"rillflow/internal/fleet"
+	"rillflow/internal/ledger"
+	"rillflow/internal/settings"
+	"rillflow/internal/wire"
+)
+
+var now = time.Unix(9000, 0)
+
+// term makes a reign with hosts of 8 cores in zones a and b, that no network
+// is needed for.
+func term(t *testing.T) *reign {
+	t.Helper()
+	op, err := settings.ParseOperator(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := &settings.Settings{Node: "n", Operator: op, Facts: settings.Facts{
+		Workers:    settings.Workers{ReportS: 3, LeaseS: 30},
+		Teams:      []settings.Team{{Name: "t", CPUs: 100, CPUsMax: 100}, {Name: "u", CPUs: 4, CPUsMax: 100}},
+		Objectives: []settings.Objective{{Kind: "finished", Class: "f", WithinS: 60}, {Kind: "finished", Class: "f", WithinS: 120}, {Kind: "deadline", Class: "d", Times: 1.5}},
+	}}
+	cat := fleet.NewCatalogue(nil, time.Minute, nil)
+	cat.Set([]wire.MachineType{{Label: "m", Cores: 8, RAM: 64, PullRate: 1, LocalGB: 20}})
+	r := &reign{
+		Control: &Control{set: set, types: cat, log: slog.New(slog.NewTextHandler(io.Discard, nil)), now: func() time.Time { return now }},
+		led:     ledger.New("w", set.Facts.Teams), hosts: map[string]*agent.Host{}, gone: map[string]time.Time{},
+	}
+	for i, z := range []string{"a", "b", "a", "b"} {
+		h := agent.NewHost(fmt.Sprint("h", i))
+		h.Flavor, h.Zone, h.Tenure, h.Heard = "m", z, 1, now
+		r.hosts[h.Name] = h
+	}
+	return r
+}
+
+func (r *reign) add(ref string, j wire.Job) *ledger.Job {
+	if j.Owner == "" {
+		j.Owner = "t"
+	}
+	return r.led.Add(ref, ledger.Record{Job: j, AtMS: now.UnixMilli(), Chunk: 8}, 1)
+}
+
+func (r *reign) run(t *testing.T, j *ledger.Job, host string, ran time.Duration) *ledger.Held {
+	t.Helper()
+	c, err := r.led.Claim(j, host, 1, r.hosts[host].Zone)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Committed, c.Running = true, now.Add(-ran)
+	return c
+}
+
+func TestVictim(t *testing.T) {
+	array := wire.Job{Shape: wire.Batch, Rank: "standard", Members: 8, Cores: 8, ExpectS: 50}
+	replica := wire.Job{Shape: wire.Standing, Rank: "production", Members: 2, Cores: 2}
+	for _, tc := range []struct {
+		name  string
+		tweak func(t *testing.T, r *reign, array, replica *wire.Job)
+		ran   []time.Duration // array tasks on h0, h1, ...
+		want  string
+	}{
+		{"the least work lost", nil, []time.Duration{20 * time.Second, 10 * time.Second, 30 * time.Second}, "h1"},
+		{"not one about to finish", nil, []time.Duration{20 * time.Second, 49 * time.Second}, "h0"},
+		{"not of the same rank", func(_ *testing.T, _ *reign, a, _ *wire.Job) { a.Rank = "production" }, []time.Duration{time.Second}, ""},
+		{"not for a team past its guarantee against one within its own", func(_ *testing.T, _ *reign, _, p *wire.Job) { p.Owner, p.Cores = "u", 5 }, []time.Duration{time.Second}, ""},
+		{"not where the job may not be", func(_ *testing.T, _ *reign, _, p *wire.Job) { p.Locale = "b" }, []time.Duration{time.Second, 20 * time.Second}, "h1"},
+		{"a checkpoint saves the work", func(_ *testing.T, _ *reign, a, _ *wire.Job) { a.SnapshotS, a.FlushS = 5, 1 }, []time.Duration{30 * time.Second}, "h0"},
+		{"not on a spot machine", func(_ *testing.T, r *reign, a, _ *wire.Job) { a.Loaners = true; r.hosts["h0"].Loaners = true }, []time.Duration{time.Second, 9 * time.Second}, "h1"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := term(t)
+			a, p := array, replica
+			if tc.tweak != nil {
+				tc.tweak(t, r, &a, &p)
+			}
+			aj, pj := r.add("req-1", a), r.add("req-2", p)
+			for i, d := range tc.ran {
+				r.run(t, aj, fmt.Sprint("h", i), d)
+			}
+			got := ""
+			if m, c := r.victim(pj, r.rooms(now), map[string]int{}, now); c != nil {
+				got = m.h.Name
+			}
+			if got != tc.want {
+				t.Errorf("stops on %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+// A job that fails everywhere is told from a machine that fails everything.
+func TestBlame(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		failures [][2]string // job, host
+		badHosts string
+		badJobs  string
+	}{
+		{"one failure is nobody's fault", [][2]string{{"req-1", "h0"}}, "", ""},
+		{"a machine that fails several jobs", [][2]string{{"req-1", "h0"}, {"req-2", "h0"}}, " h0", ""},
+		{"a job that fails on several machines", [][2]string{{"req-1", "h0"}, {"req-1", "h1"}, {"req-1", "h2"}}, "", " req-1"},
+		{"a job caught on a bad machine is not bad", [][2]string{{"req-1", "h0"}, {"req-2", "h0"}, {"req-1", "h1"}}, " h0", ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := term(t)
+			jobs := []*ledger.Job{r.add("req-1", wire.Job{Members: 9}), r.add("req-2", wire.Job{Members: 9})}
+			for _, f := range tc.failures {
+				r.failed(r.led.Job(f[0]), r.hosts[f[1]], now)
+			}
+			hosts, bad := "", ""
+			for _, h := range r.sortedHosts() {
+				if r.badHost(h) {
+					hosts += " " + h.Name
+				}
+			}
+			for _, j := range jobs {
+				if r.badJob(j) {
+					bad += " " + j.Ref
+				}
+			}
+			if hosts != tc.badHosts || bad != tc.badJobs {
+				t.Errorf("blamed hosts%s and jobs%s", hosts, bad)
+			}
+		})
+	}
+}
+
+func TestUrgency(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		job   wire.Job
+		after time.Duration
+		stage int
+	}{
+		{"in time for both", wire.Job{Class: "f", ExpectS: 20}, 30 * time.Second, 0},
+		{"too late for the first", wire.Job{Class: "f", ExpectS: 20}, 50 * time.Second, 1},
+		{"too late for both", wire.Job{Class: "f", ExpectS: 20}, 110 * time.Second, 2},
+		{"a deadline and a half", wire.Job{Class: "d", ExpectS: 20, DueS: 60}, 69 * time.Second, 0},
+		{"past it", wire.Job{Class: "d", ExpectS: 20, DueS: 60}, 71 * time.Second, 1},
+		{"no aim", wire.Job{Class: "x", ExpectS: 20}, time.Hour, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := term(t)
+			tc.job.Members, tc.job.Cores = 2, 3
+			u := r.urgency(r.add("req-1", tc.job), now.Add(tc.after))
+			if u.stage != tc.stage || u.work != 2*3*20 {
+				t.Errorf("got %+v, want stage %d", u, tc.stage)
+			}
+		})
+	}
+}
+
+// Rooms add up for a large task that small ones would starve.
+func TestHold(t *testing.T) {
+	r := term(t)
+	small := r.add("req-1", wire.Job{Shape: wire.Batch, Rank: "standard", Members: 99, Cores: 2})
+	for i := range 4 {
+		for range 3 + i%2 {
+			r.run(t, small, fmt.Sprint("h", i), time.Second)
+		}
+	}
+	large := r.add("req-2", wire.Job{Shape: wire.Batch, Rank: "standard", Members: 1, Cores: 8})
+	queues, rooms := r.queues(now), r.rooms(now)
+	r.hold(queues, rooms, now)
+	for _, m := range rooms {
+		if m.held != nil {
+			t.Fatal("a room is held for a task that just came")
+		}
+	}
+	late := now.Add(5 * r.set.Lease())
+	small.WaitingSince = late
+	r.hold(queues, rooms, late)
+	held := 0
+	for _, m := range rooms {
+		if m.held == large {
+			held++
+			if m.cores != 2 {
+				t.Error("a fuller machine is held while one has room")
+			}
+		}
+	}
+	if held != 1 {
+		t.Errorf("%d rooms held for one task", held)
+	}
+}
+
+// Until proof, the claims of a silent host stand: another node may have
+// renewed its lease.
+func TestExpire(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		sole   uint64
+		epoch  uint64
+		silent time.Duration
+		freed  bool
+	}{
+		{"within the lease", 5, 5, 29 * time.Second, false},
+		{"over, and nobody else may answer", 5, 5, 32 * time.Second, true},
+		{"over by a drifting clock only", 5, 5, 30 * time.Second, false},
+		{"the worker has not seen the epoch", 5, 4, time.Hour, false},
+		{"another owns it", 0, 9, time.Hour, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := term(t)
+			j := r.add("req-1", wire.Job{Shape: wire.Standing, Members: 1, Cores: 1})
+			r.run(t, j, "h0", time.Minute)
+			h := r.hosts["h0"]
+			h.Sole, h.Epoch, h.Heard = tc.sole, tc.epoch, now.Add(-tc.silent)
+			r.expire(now)
+			if got := j.Active() == 0; got != tc.freed {
+				t.Errorf("freed: %v, want %v", got, tc.freed)
+			}
+		})
+	}
+}
--- a/internal/fleet/catalogue.go
+++ b/internal/fleet/catalogue.go
@@ -31,6 +31,15 @@
 	return nil
 }
 
+// Set takes in the machine types.
+func (c *Catalogue) Set(ts []wire.MachineType) {
+	m := make(map[string]*wire.MachineType, len(ts))
+	for i := range ts {
+		m[ts[i].Label] = &ts[i]
+	}
+	c.types.Store(&m)
+}
+
 // Run reads the catalogue until ctx ends.
 func (c *Catalogue) Run(ctx context.Context) error {
 	for try := 0; ctx.Err() == nil; {
@@ -42,11 +51,7 @@
 			continue
 		}
 		try = 0
-		m := make(map[string]*wire.MachineType, len(ts))
-		for i := range ts {
-			m[ts[i].Label] = &ts[i]
-		}
-		c.types.Store(&m)
+		c.Set(ts)
 		t := time.NewTimer(c.every)
 		select {
 		case <-ctx.Done():
