--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -28,14 +28,27 @@
 	st     *state.Client
 	types  *fleet.Catalogue
 	counts func(ctx context.Context, ref string) (done, running int, ok bool)
+	down   func() bool
 	log    *slog.Logger
 	now    func() time.Time
 	ended  *memory
 }
 
-// New makes the users' side. counts tells a live job's counts where known.
-func New(set *settings.Settings, st *state.Client, types *fleet.Catalogue, counts func(context.Context, string) (int, int, bool), log *slog.Logger) *Users {
-	return &Users{set: set, st: st, types: types, counts: counts, log: log, now: time.Now, ended: newMemory(4096)}
+// New makes the users' side. counts tells a live job's counts where known; down
+// whether the state service has not answered for long.
+func New(set *settings.Settings, st *state.Client, types *fleet.Catalogue, counts func(context.Context, string) (int, int, bool), down func() bool, log *slog.Logger) *Users {
+	return &Users{set: set, st: st, types: types, counts: counts, down: down, log: log, now: time.Now, ended: newMemory(4096)}
+}
+
+// again tells whether to ask the state service once more after an error. What
+// it refuses is answered at once, with a time to come back: a user is not to be
+// kept waiting for what cannot be decided now. What got no answer, or came at a
+// busy moment, may well be settled within the user's patience.
+func (u *Users) again(ctx context.Context, err error, try int) bool {
+	if errors.Is(err, state.ErrRefused) && !errors.Is(err, state.ErrBusy) || u.down() {
+		return false
+	}
+	return state.Backoff(ctx, try, 20*time.Millisecond, 200*time.Millisecond)
 }
 
 // Routes adds the users' requests to a mux.
@@ -134,6 +147,9 @@
 	if err != nil {
 		return false, err
 	}
+	if u.down() {
+		return false, state.ErrRefused
+	}
 	for try := 0; ; try++ {
 		_, failed, err := u.st.Commit(ctx, wire.Commit{
 			Guards: []wire.Guard{{Path: ledger.LiveKey(job.Ref)}, {Path: ledger.EndedKey(job.Ref)}},
@@ -142,7 +158,7 @@
 		if err == nil {
 			return len(failed) == 0, nil
 		}
-		if !state.Backoff(ctx, try, 20*time.Millisecond, 200*time.Millisecond) {
+		if !u.again(ctx, err, try) {
 			return false, err
 		}
 	}
@@ -154,12 +170,15 @@
 	if p, ok := u.ended.get(ref); ok {
 		return p, nil
 	}
+	if u.down() {
+		return wire.Phase{}, state.ErrRefused
+	}
 	for try := 0; ; try++ {
 		p, err := u.read(ctx, ref)
 		if err == nil || errors.Is(err, state.ErrNotFound) {
 			return p, err
 		}
-		if !state.Backoff(ctx, try, 20*time.Millisecond, 200*time.Millisecond) {
+		if !u.again(ctx, err, try) {
 			return p, err
 		}
 	}
@@ -237,7 +256,7 @@
 		case errors.Is(err, state.ErrNotFound):
 			reply(w, http.StatusNotFound, wire.Error{Error: "no such job"})
 			return
-		case !state.Backoff(ctx, try, 20*time.Millisecond, 200*time.Millisecond):
+		case !u.again(ctx, err, try):
 			busy(w, "state service")
 			return
 		}
@@ -252,6 +271,9 @@
 	if p, ok := u.ended.get(ref); ok {
 		return p, nil
 	}
+	if u.down() {
+		return wire.Phase{}, state.ErrRefused
+	}
 	it, err := u.st.Get(ctx, ledger.LiveKey(ref))
 	if errors.Is(err, state.ErrNotFound) {
 		return u.read(ctx, ref)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -70,7 +70,7 @@
 		Types: types, Parts: d.part, Log: log,
 	})
 	mux := http.NewServeMux()
-	intake.New(set, d.st, types, d.counts, log).Routes(mux)
+	intake.New(set, d.st, types, d.counts, d.part.Refused, log).Routes(mux)
 	d.users = mux
 
 	front, err := nw.Listen(set.Front)
