--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -323,3 +323,58 @@
 		}
 	})
 }
+
+// The largest job the protocol allows runs to its end in small values and
+// batches, and a leader that takes over midway goes on from there.
+func TestLargestJob(t *testing.T) {
+	const n = 100_000
+	ts := []settings.Team{{Name: "a", CPUsMax: 500}}
+	rec := Record{Job: wire.Job{Owner: "a", Shape: wire.Batch, Members: n, Cores: 1}, Chunk: ChunkTasks(16)}
+	s := store{}
+	l := New("w", ts)
+	j := l.Add("req-1", rec, 1)
+	gen := uint64(1)
+	flush := func() {
+		for b := l.Next(16, 40<<10); b != nil; b = l.Next(16, 40<<10) {
+			gen++
+			for _, c := range b.Apply {
+				if len(c.Data) > 16<<10/4 {
+					t.Fatalf("a value of %d bytes", len(c.Data))
+				}
+			}
+			s.apply(b)
+			l.Committed(b, gen)
+		}
+	}
+	for round := 0; l.Job("req-1") != nil; round++ {
+		for i := 0; ; i++ {
+			if _, err := l.Claim(j, fmt.Sprintf("i-%06d", i%50), 1, "zone"); err != nil {
+				break
+			}
+		}
+		flush()
+		if round == 100 {
+			l = New("x", ts)
+			j = l.Add("req-1", rec, 1)
+			for key, data := range s {
+				if err := l.Load(key, data, gen, 1); err != nil {
+					t.Fatal(err)
+				}
+			}
+			l.Loaded()
+			if j.Done() != 100*500 || j.Active() != 500 || j.WaitingTasks() != n-101*500 {
+				t.Fatalf("took over %d done, %d active, %d waiting", j.Done(), j.Active(), j.WaitingTasks())
+			}
+		}
+		for _, h := range l.HeldBy(j) {
+			l.Finish(h)
+		}
+		flush()
+		if round > n/500 {
+			t.Fatal("the job does not end")
+		}
+	}
+	if len(s) != 1 {
+		t.Errorf("%d keys are left of a job that is done", len(s))
+	}
+}
