--- a/cmd/rillflow/main.go
+++ b/cmd/rillflow/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -112,14 +111,10 @@
 
 func main() {
 	var c cli
-	k := kong.Parse(&c, kong.Name("rillflow"), kong.Description("A cluster scheduler: MaxWeight placement with learned rates."), kong.UsageOnError())
+	k := kong.Parse(&c, kong.Name("rillflow"), kong.Description("A cluster scheduler: MaxWeight placement with learned rates."), kong.UsageOnError(),
+		kong.Exit(func(code int) { os.Exit(min(code, 2)) })) // 2: the command line is wrong
 	if err := k.Run(); err != nil {
-		var perr *kong.ParseError
-		code := 1
-		if errors.As(err, &perr) {
-			code = 2
-		}
 		fmt.Fprintln(os.Stderr, "rillflow:", err)
-		os.Exit(code)
+		os.Exit(1)
 	}
 }
