--- a/internal/agent/host.go
+++ b/internal/agent/host.go
@@ -29,6 +29,7 @@
 	WarnAt  time.Time // when the cloud takes it away; zero: no notice
 
 	Members map[ledger.Task]Member
+	Stray   bool    // a task on it takes room that no claim tells of
 	Images  []Image // most recently used first
 
 	// Taint is the epoch of the latest direct command whose fate is unknown.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -83,6 +83,7 @@
 	mu     sync.Mutex
 	led    *ledger.Ledger
 	hosts  map[string]*agent.Host
+	sorted []*agent.Host        // by name, for decisions that repeat
 	gone   map[string]time.Time // released, with when
 	rents  *fleet.Planner
 	listed map[string]wire.ListedHost
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -38,7 +38,7 @@
 	for i, z := range []string{"a", "b", "a", "b"} {
 		h := agent.NewHost(fmt.Sprint("h", i))
 		h.Flavor, h.Zone, h.Tenure, h.Heard = "m", z, 1, now
-		r.hosts[h.Name] = h
+		r.enter(h)
 	}
 	return r
 }
@@ -118,7 +118,7 @@
 				r.failed(r.led.Job(f[0]), r.hosts[f[1]], now)
 			}
 			hosts, bad := "", ""
-			for _, h := range r.sortedHosts() {
+			for _, h := range r.sorted {
 				if r.badHost(h) {
 					hosts += " " + h.Name
 				}
--- a/internal/control/gang.go
+++ b/internal/control/gang.go
@@ -25,7 +25,7 @@
 	n := 0
 	for _, j := range js {
 		for _, m := range r.muster(j, rooms) {
-			if r.take(m, j) {
+			if r.claim(m, j) {
 				n++
 			}
 		}
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -63,12 +63,28 @@
 	if h == nil {
 		h = agent.NewHost(name)
 		r.own(h, r.term.Map())
-		r.hosts[name] = h
+		r.enter(h)
 		r.group.Go(func() error { return r.send(r.ctx, h) })
 	}
 	return h
 }
 
+// enter and leave keep the hosts and their order.
+func (r *reign) enter(h *agent.Host) {
+	r.hosts[h.Name] = h
+	i, _ := slices.BinarySearchFunc(r.sorted, h.Name, byName)
+	r.sorted = slices.Insert(r.sorted, i, h)
+}
+
+func (r *reign) leave(h *agent.Host) {
+	delete(r.hosts, h.Name)
+	if i, ok := slices.BinarySearchFunc(r.sorted, h.Name, byName); ok {
+		r.sorted = slices.Delete(r.sorted, i, i+1)
+	}
+}
+
+func byName(h *agent.Host, name string) int { return strings.Compare(h.Name, name) }
+
 // report takes in what a worker says, if it is news. It returns nil for a
 // machine that was returned to the cloud: a late message from the past.
 func (r *reign) report(rep *wire.Report) *agent.Host {
@@ -80,6 +96,8 @@
 		return h
 	}
 	now := r.now()
+	news := h.Stray || !r.usable(h, now) // it may be of use from now on
+	used := r.led.Used(h.Name)
 	h.Address, h.Flavor, h.Zone, h.Loaners = rep.Address, rep.Flavor, rep.Locale, rep.Loaners
 	h.Tick, h.Epoch = rep.Tick, max(h.Epoch, rep.Epoch)
 	if h.Epoch > h.Taint {
@@ -105,7 +123,10 @@
 	if !r.led.Empty() {
 		kick(r.flushes)
 	}
-	kick(r.plans)
+	// Most reports free no room: a pass for each would be for nothing.
+	if news || used != r.led.Used(h.Name) {
+		kick(r.plans)
+	}
 	return h
 }
 
@@ -150,7 +171,12 @@
 			r.ended(c, h, m.Cause, now)
 		}
 	}
-	h.Members = seen
+	h.Members, h.Stray = seen, false
+	for t, m := range seen {
+		if c := claims[t]; (c == nil || c.Try != m.Try) && m.Phase != wire.Ended {
+			h.Stray = true
+		}
+	}
 	// A withdrawn job's task that the worker does not have is gone once no
 	// launch can reach the worker any more: it has seen a higher epoch than
 	// any launch carried.
@@ -384,13 +410,3 @@
 	}
 	return string(s)
 }
-
-// sortedHosts are the hosts by name, for decisions that repeat.
-func (r *reign) sortedHosts() []*agent.Host {
-	hs := make([]*agent.Host, 0, len(r.hosts))
-	for _, h := range r.hosts {
-		hs = append(hs, h)
-	}
-	slices.SortFunc(hs, func(a, b *agent.Host) int { return strings.Compare(a.Name, b.Name) })
-	return hs
-}
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -25,7 +25,7 @@
 		for r.pass(ctx) {
 		}
 		// Reports come in flocks: one pass serves several.
-		if !sleep(ctx, r.set.Report()/256) {
+		if !sleep(ctx, r.set.Report()/64) {
 			return ctx.Err()
 		}
 	}
@@ -70,13 +70,15 @@
 
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	byName := make(map[string]*room, len(rooms))
-	for _, m := range r.rooms(r.now()) { // reports came in meanwhile
-		byName[m.h.Name] = m
-	}
 	passed := false
+	now = r.now()
+	fresh := make(map[string]*room) // reports came in meanwhile
 	for _, p := range picks {
-		j, m := r.led.Job(p.Ref), byName[p.Host]
+		j, m := r.led.Job(p.Ref), fresh[p.Host]
+		if m == nil {
+			m = r.room(r.hosts[p.Host], now)
+			fresh[p.Host] = m
+		}
 		if j == nil || m == nil || !m.fits(j) {
 			continue
 		}
@@ -84,7 +86,7 @@
 			passed = true // its team's guarantee is used up: others may come first
 			continue
 		}
-		if r.take(m, j) {
+		if r.claim(m, j) {
 			n++
 		}
 	}
@@ -92,13 +94,7 @@
 		kick(r.flushes)
 	}
 	if !passed {
-		left := make([]*room, 0, len(byName))
-		for _, m := range rooms {
-			if now := byName[m.h.Name]; now != nil {
-				left = append(left, now)
-			}
-		}
-		r.preempt(queues, left, r.now())
+		r.preempt(queues, now)
 	}
 	return n > 0 && passed
 }
@@ -130,12 +126,18 @@
 // offers makes the offer for each part: its rooms that something fits, and the
 // types that wait.
 func (r *reign) offers(queues []*queue, rooms []*room, now time.Time) map[string]*placement.Offer {
+	look := newSurvey(rooms)
 	var qs []placement.Queue
+	var jobs []*ledger.Job
 	for _, q := range queues {
 		pq := placement.Queue{Type: q.name, Count: q.count}
 		for _, j := range q.jobs {
-			if w := r.waiting(j, rooms, now); w.Tasks > 0 && len(pq.Jobs) < maxJobs {
+			if len(pq.Jobs) == maxJobs {
+				break
+			}
+			if w := r.waiting(j, look, now); w.Tasks > 0 {
 				pq.Jobs = append(pq.Jobs, w)
+				jobs = append(jobs, j)
 			}
 		}
 		if len(pq.Jobs) > 0 {
@@ -143,9 +145,18 @@
 		}
 	}
 	offers := make(map[string]*placement.Offer)
+	if len(jobs) == 0 {
+		return offers
+	}
+	// Most rooms of a full fleet have no room for even the least task.
+	least := jobs[0].Spec
+	for _, j := range jobs {
+		least.Cores, least.Accel, least.RAM = min(least.Cores, j.Spec.Cores), min(least.Accel, j.Spec.Accel), min(least.RAM, j.Spec.RAM)
+	}
 	parts := r.term.Map()
 	for _, m := range rooms {
-		if !slices.ContainsFunc(queues, func(q *queue) bool { return r.first(m, q) != nil }) {
+		if !within(&least, m.cores, m.accel, m.ram) ||
+			!slices.ContainsFunc(jobs, func(j *ledger.Job) bool { return m.fits(j) && r.led.May(j, m.h.Zone) == nil }) {
 			continue
 		}
 		owner := parts.Owner(m.h.Name)
@@ -172,6 +183,27 @@
 	return offers
 }
 
+// survey is what the jobs of a pass ask of all rooms, looked up once.
+type survey struct {
+	zones []string
+	warm  map[string][]*room // rooms that have an image
+}
+
+func newSurvey(rooms []*room) *survey {
+	v := &survey{warm: make(map[string][]*room)}
+	for _, m := range rooms {
+		if !slices.Contains(v.zones, m.h.Zone) {
+			v.zones = append(v.zones, m.h.Zone)
+		}
+		for _, im := range m.h.Images {
+			if !im.Coming {
+				v.warm[im.Bundle] = append(v.warm[im.Bundle], m)
+			}
+		}
+	}
+	return v
+}
+
 // cloneQueues copies what picking changes: each owner picks as if alone, and
 // the ledger confirms the best of all picks.
 func cloneQueues(qs []placement.Queue) []placement.Queue {
@@ -186,7 +218,7 @@
 }
 
 // waiting describes a job to the owners.
-func (r *reign) waiting(j *ledger.Job, rooms []*room, now time.Time) placement.Waiting {
+func (r *reign) waiting(j *ledger.Job, look *survey, now time.Time) placement.Waiting {
 	s := &j.Spec
 	w := placement.Waiting{
 		Ref: j.Ref, Tasks: j.WaitingTasks(), Tier: r.tier(j), Age: now.Sub(j.WaitingSince),
@@ -196,8 +228,8 @@
 	}
 	w.Within = r.within(j)
 	if w.Standing {
-		for _, m := range rooms {
-			if m.h.HasImage(s.Bundle) && m.fits(j) && !slices.Contains(w.Warm, m.h.Zone) {
+		for _, m := range look.warm[s.Bundle] {
+			if !slices.Contains(w.Warm, m.h.Zone) && m.fits(j) {
 				w.Warm = append(w.Warm, m.h.Zone)
 			}
 		}
@@ -208,15 +240,15 @@
 	w.Tasks = min(w.Tasks, r.led.Headroom(j))
 	if s.Locale != "" || s.Scatter || s.SamePlace {
 		w.Zones = make(map[string]int)
-		for _, m := range rooms {
-			w.Zones[m.h.Zone] = r.led.ZoneRoom(j, m.h.Zone)
+		for _, z := range look.zones {
+			w.Zones[z] = r.led.ZoneRoom(j, z)
 		}
 	}
 	return w
 }
 
-// take claims the job's next task for a room.
-func (r *reign) take(m *room, j *ledger.Job) bool {
+// claim claims the job's next task for a room.
+func (r *reign) claim(m *room, j *ledger.Job) bool {
 	c, err := r.led.Claim(j, m.h.Name, m.h.Tenure, m.h.Zone)
 	if err != nil {
 		return false
@@ -224,10 +256,21 @@
 	m.h.Idle = time.Time{}
 	m.h.Fetches(j.Spec.Bundle, j.Spec.SizeGB)
 	r.log.Debug("claim", "task", c.Task(), "try", c.Try, "host", c.Host)
+	m.take(j)
+	return true
+}
+
+// take and give account for one task of a job.
+func (m *room) take(j *ledger.Job) {
 	m.cores -= j.Spec.Cores
 	m.accel -= j.Spec.Accel
 	m.ram -= j.Spec.RAM
-	return true
+}
+
+func (m *room) give(j *ledger.Job) {
+	m.cores += j.Spec.Cores
+	m.accel += j.Spec.Accel
+	m.ram += j.Spec.RAM
 }
 
 // queues groups waiting jobs by type, each in the order its tasks go.
@@ -237,11 +280,13 @@
 		if j.Withdrawn || j.Finished {
 			continue
 		}
-		name := r.typeOf(j)
-		q := byName[name]
+		if j.Type == "" {
+			j.Type = r.typeOf(j)
+		}
+		q := byName[j.Type]
 		if q == nil {
-			q = &queue{name: name}
-			byName[name] = q
+			q = &queue{name: j.Type}
+			byName[j.Type] = q
 		}
 		q.count += j.Unfinished()
 		if j.WaitingTasks() > 0 && !now.Before(j.RetryAt) {
@@ -253,19 +298,31 @@
 		if len(q.jobs) == 0 {
 			continue
 		}
-		order := make(map[*ledger.Job]urgency, len(q.jobs))
-		for _, j := range q.jobs {
-			order[j] = r.urgency(j, now)
-		}
-		slices.SortFunc(q.jobs, func(a, b *ledger.Job) int {
-			return cmp.Or(order[a].compare(order[b]), a.At.Compare(b.At), cmp.Compare(a.Ref, b.Ref))
-		})
+		r.order(q.jobs, now)
 		qs = append(qs, q)
 	}
 	slices.SortFunc(qs, func(a, b *queue) int { return cmp.Compare(a.name, b.name) })
 	return qs
 }
 
+// order sorts jobs as their tasks go within a type.
+func (r *reign) order(jobs []*ledger.Job, now time.Time) {
+	type entry struct {
+		j *ledger.Job
+		u urgency
+	}
+	es := make([]entry, len(jobs))
+	for i, j := range jobs {
+		es[i] = entry{j, r.urgency(j, now)}
+	}
+	slices.SortFunc(es, func(a, b entry) int {
+		return cmp.Or(a.u.compare(b.u), a.j.At.Compare(b.j.At), cmp.Compare(a.j.Ref, b.j.Ref))
+	})
+	for i, e := range es {
+		jobs[i] = e.j
+	}
+}
+
 // within is how soon a job's users want its tasks started, in seconds; 0 if they
 // name no time.
 func (r *reign) within(j *ledger.Job) float64 {
@@ -314,48 +371,30 @@
 }
 
 func (r *reign) rooms(now time.Time) []*room {
-	types := r.types.Types()
-	var rooms []*room
-	for _, h := range r.sortedHosts() {
-		t := types[h.Flavor]
-		if t == nil || !r.usable(h, now) {
-			continue
-		}
-		m := &room{h: h, t: t, cores: t.Cores, accel: t.Accel, ram: t.RAM}
-		claims := r.led.OnHost(h.Name)
-		for _, c := range claims {
-			if c.Over {
-				continue
-			}
-			m.cores -= c.Job.Spec.Cores
-			m.accel -= c.Job.Spec.Accel
-			m.ram -= c.Job.Spec.RAM
-		}
-		stray := false
-		for t, mem := range h.Members {
-			if c := claims[t]; (c == nil || c.Try != mem.Try) && mem.Phase != wire.Ended {
-				stray = true // takes room that no claim tells of
-			}
-		}
-		if !stray {
+	rooms := make([]*room, 0, len(r.sorted))
+	for _, h := range r.sorted {
+		if m := r.room(h, now); m != nil {
 			rooms = append(rooms, m)
 		}
 	}
 	return rooms
 }
 
-const slack = 1e-6
-
-// first is the type's first job whose next task fits the room.
-func (r *reign) first(m *room, q *queue) *ledger.Job {
-	for _, j := range q.jobs {
-		if !j.Gang() && m.fits(j) && r.led.May(j, m.h.Zone) == nil {
-			return j
-		}
+// room is what is free on a host, or nil if it may not take new tasks.
+func (r *reign) room(h *agent.Host, now time.Time) *room {
+	if h == nil || h.Stray || !r.usable(h, now) {
+		return nil
+	}
+	t := r.types.Types()[h.Flavor]
+	if t == nil {
+		return nil
 	}
-	return nil
+	u := r.led.Used(h.Name)
+	return &room{h: h, t: t, cores: t.Cores - u.Cores, accel: t.Accel - u.Accel, ram: t.RAM - u.RAM}
 }
 
+const slack = 1e-6
+
 // fits tells whether a task of a job fits what is free.
 func (m *room) fits(j *ledger.Job) bool {
 	return within(&j.Spec, m.cores, m.accel, m.ram) && m.allowed(j)
--- a/internal/control/preempt.go
+++ b/internal/control/preempt.go
@@ -9,7 +9,8 @@
 // preempt stops tasks of lower rank for waiting ones that found no room. The
 // ones stopped are those that lose the least work, and never one that is about
 // to finish by itself.
-func (r *reign) preempt(queues []*queue, rooms []*room, now time.Time) {
+func (r *reign) preempt(queues []*queue, now time.Time) {
+	var rooms []*room
 	for _, q := range queues {
 		for _, j := range q.jobs {
 			if rankOf(j.Spec.Rank) >= rankOf("standard") || j.WaitingTasks() == 0 || j.Gang() ||
@@ -19,6 +20,9 @@
 			// Once stopped, the tasks' room comes free within a moment; give
 			// it time to be taken before more are stopped for this job.
 			j.PreemptAt = now.Add(r.set.Report() / 2)
+			if rooms == nil {
+				rooms = r.rooms(now)
+			}
 			left := make(map[string]int)
 			for range min(j.WaitingTasks(), r.led.Headroom(j)) {
 				m, victim := r.victim(j, rooms, left, now)
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -228,7 +228,7 @@
 	}
 	var rooms []*room
 	moved := make(map[string]bool)
-	for _, h := range r.sortedHosts() {
+	for _, h := range r.sorted {
 		if !h.Draining {
 			continue
 		}
@@ -243,9 +243,14 @@
 		for _, c := range r.led.OnHost(h.Name) {
 			j := c.Job
 			if len(moved) >= 4 || moved[j.Ref] || c.Stopping || !r.settled(c, now) || j.Spec.Shape != wire.Standing ||
-				j.Active() < j.Spec.Members || !r.elsewhere(c, rooms) {
+				j.Active() < j.Spec.Members {
 				continue
 			}
+			m := r.elsewhere(c, rooms)
+			if m == nil {
+				continue
+			}
+			m.take(j)
 			moved[j.Ref] = true
 			c.Stopping = true
 			h.Nudge()
@@ -260,9 +265,8 @@
 }
 
 // elsewhere finds a replica a place on another machine that has its image, where
-// it is back within some 30 ms, and takes the place from the rooms. A fetch would
-// take it away for a second.
-func (r *reign) elsewhere(c *ledger.Held, rooms []*room) bool {
+// it is back within some 30 ms. A fetch would take it away for a second.
+func (r *reign) elsewhere(c *ledger.Held, rooms []*room) *room {
 	j := c.Job
 	for _, m := range rooms {
 		if m.h.Name == c.Host || m.h.Draining || !m.fits(j) || !m.h.HasImage(j.Spec.Bundle) {
@@ -272,15 +276,11 @@
 		if m.h.Zone == c.Zone {
 			free++ // its own place comes free
 		}
-		if free <= 0 {
-			continue
+		if free > 0 {
+			return m
 		}
-		m.cores -= j.Spec.Cores
-		m.accel -= j.Spec.Accel
-		m.ram -= j.Spec.RAM
-		return true
 	}
-	return false
+	return nil
 }
 
 func (r *reign) rented(q wire.Rent, names []string, err error) {
@@ -321,7 +321,7 @@
 			r.lost(c, "machine returned")
 		}
 		if h := r.hosts[n]; h != nil {
-			delete(r.hosts, n)
+			r.leave(h)
 			h.Nudge() // ends its sender
 		}
 		delete(r.listed, n)
@@ -369,7 +369,7 @@
 	types := r.types.Types()
 	var out []string
 	silent := 0
-	for _, h := range r.sortedHosts() {
+	for _, h := range r.sorted {
 		why := ""
 		l, listed := r.listed[h.Name]
 		t := types[h.Flavor]
@@ -432,33 +432,31 @@
 
 // machines shows the fleet to the planner.
 func (r *reign) machines(now time.Time) []fleet.Machine {
-	var ms []fleet.Machine
-	var rooms []*room
-	if r.set.Frugal() {
-		rooms = r.rooms(now)
-	}
-	for _, h := range r.sortedHosts() {
+	ms := make([]fleet.Machine, 0, len(r.hosts))
+	var rooms []*room // shared, so that no place is counted for two machines
+	for _, h := range r.sorted {
 		_, leaving := r.gone[h.Name]
 		if h.Flavor == "" {
 			continue
 		}
+		claims := r.led.OnHost(h.Name)
 		m := fleet.Machine{
 			Name: h.Name, Flavor: h.Flavor, Zone: h.Zone, Loaners: h.Loaners,
 			Up: !h.Heard.IsZero(), Leaving: leaving || !h.WarnAt.IsZero() || r.badHost(h),
-			Draining: h.Draining, Movable: true, Asked: h.Asked,
-		}
-		free := slices.Clone(rooms)
-		for i := range free {
-			c := *free[i] // together they take more room than each alone
-			free[i] = &c
+			Draining: h.Draining, Asked: h.Asked,
+			Movable: func() bool {
+				if rooms == nil {
+					rooms = r.rooms(now)
+				}
+				return r.movable(h, rooms, now)
+			},
 		}
-		for _, c := range r.led.OnHost(h.Name) {
+		for _, c := range claims {
 			if c.Job.Spec.Shape == wire.Standing {
 				m.Replicas++
-				m.Movable = m.Movable && r.settled(c, now) && r.elsewhere(c, free)
 			}
 		}
-		if m.Up && len(h.Members) == 0 && len(r.led.OnHost(h.Name)) == 0 {
+		if m.Up && len(h.Members) == 0 && len(claims) == 0 {
 			m.Idle = h.Idle
 		}
 		ms = append(ms, m)
@@ -466,6 +464,30 @@
 	return ms
 }
 
+// movable tells whether every replica on a host has a place elsewhere, and
+// takes the places from the rooms. What it took is given back if one has none.
+func (r *reign) movable(h *agent.Host, rooms []*room, now time.Time) bool {
+	var undo []func()
+	for _, c := range r.led.OnHost(h.Name) {
+		if c.Job.Spec.Shape != wire.Standing {
+			continue
+		}
+		var m *room
+		if r.settled(c, now) {
+			m = r.elsewhere(c, rooms)
+		}
+		if m == nil {
+			for _, f := range undo {
+				f()
+			}
+			return false
+		}
+		m.take(c.Job)
+		undo = append(undo, func() { m.give(c.Job) })
+	}
+	return true
+}
+
 // need sums up the work on hand.
 func (r *reign) need() fleet.Need {
 	var n fleet.Need
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -79,7 +79,7 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	v := &View{Epoch: r.term.Epoch(), Jobs: len(r.led.Jobs()), Start: map[string]int64{}}
-	for _, h := range r.sortedHosts() {
+	for _, h := range r.sorted {
 		hv := HostView{Name: h.Name, Flavor: h.Flavor, Zone: h.Zone, Loaners: h.Loaners, Claims: len(r.led.OnHost(h.Name)), Bad: r.badHost(h), SilentS: -1}
 		if !h.Heard.IsZero() {
 			hv.SilentS = now.Sub(h.Heard).Seconds()
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -23,8 +23,11 @@
 
 	Asked    time.Time // when it was rented, as far as is known
 	Draining bool      // it takes no new tasks, and goes once empty
-	Movable  bool      // every replica on it has a warm place elsewhere
 	Replicas int
+	// Movable tells whether every replica on it has a warm place elsewhere,
+	// and keeps the places. It looks at every room, so it is asked only of a
+	// machine that would be drained.
+	Movable func() bool
 }
 
 // Need is the work on hand, in cores.
@@ -297,7 +300,7 @@
 		t := types[m.Flavor]
 		idle := p.idle(m, t, now)
 		if firm+spot-t.Cores < steady+ebb || !m.Loaners && firm-t.Cores < steady ||
-			!idle && (draining >= 2 || m.Replicas > 0 && !m.Movable || now.Sub(m.Asked) < 3*settings.Seconds(t.ReadyS)) {
+			!idle && (draining >= 2 || now.Sub(m.Asked) < 3*settings.Seconds(t.ReadyS) || m.Replicas > 0 && !m.Movable()) {
 			continue
 		}
 		if m.Loaners {
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -53,7 +53,7 @@
 			{Name: "x", Flavor: "s", Up: true, Idle: old, Asked: old}, {Name: "y", Flavor: "l", Up: true, Idle: old, Asked: old},
 		}, Need{Steady: 2, Largest: 2, Tasks: []Shape{service}}, "", 0, []string{"y"}},
 		{"a machine with replicas is drained only if they have a place", []Machine{
-			{Name: "x", Flavor: "s", Up: true, Asked: old, Replicas: 1, Movable: true}, {Name: "y", Flavor: "l", Up: true, Asked: old, Replicas: 1},
+			{Name: "x", Flavor: "s", Up: true, Asked: old, Replicas: 1, Movable: func() bool { return true }}, {Name: "y", Flavor: "l", Up: true, Asked: old, Replicas: 1, Movable: func() bool { return false }},
 		}, Need{Steady: 2, Tasks: []Shape{service}}, "", 0, []string{"x"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -127,7 +127,7 @@
 		return
 	}
 	if fresh {
-		u.log.Info("accepted", "job", ref, "class", job.Class, "owner", job.Owner, "tasks", job.Members)
+		u.log.Info("accepted", "job", ref, "class", job.Class, "owner", job.Owner, "tasks", job.Members, "cores", job.Cores, "ram_gb", job.RAM, "expect_s", job.ExpectS, "bundle", job.Bundle, "size_gb", job.SizeGB)
 		reply(w, http.StatusCreated, wire.Phase{Ref: ref, Phase: wire.Queued})
 		return
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -74,6 +74,8 @@
 	RetryAt  time.Time
 	Fails    int             // failures in a row
 	FailedOn map[string]bool // hosts where a task failed
+	// Type is the job's type for the placement rule; the caller's too.
+	Type string
 	// PreemptAt is when others may next be stopped for it; the caller's too.
 	PreemptAt time.Time
 	// Waiting is since when a task of it waits.
@@ -110,7 +112,7 @@
 	teams  map[string]settings.Team
 	usage  map[string]*Usage
 	jobs   map[string]*Job
-	hosts  map[string]map[Task]*Held
+	hosts  map[string]*onHost
 	dirty  []dirtyChunk // in order of need
 }
 
@@ -119,6 +121,21 @@
 	n   int
 }
 
+// Amount is what tasks take of a machine.
+type Amount struct{ Cores, Accel, RAM float64 }
+
+func (a *Amount) add(s *wire.Job, n float64) {
+	a.Cores += n * s.Cores
+	a.Accel += n * s.Accel
+	a.RAM += n * s.RAM
+}
+
+// onHost are a host's claims, with what those take that are not over.
+type onHost struct {
+	claims map[Task]*Held
+	used   Amount
+}
+
 // New makes an empty ledger whose writes carry the writer's mark.
 func New(writer string, teams []settings.Team) *Ledger {
 	l := &Ledger{
@@ -126,7 +143,7 @@
 		teams:  make(map[string]settings.Team),
 		usage:  make(map[string]*Usage),
 		jobs:   make(map[string]*Job),
-		hosts:  make(map[string]map[Task]*Held),
+		hosts:  make(map[string]*onHost),
 	}
 	for _, t := range teams {
 		l.teams[t.Name] = t
@@ -153,7 +170,21 @@
 func (l *Ledger) Team(name string) settings.Team { return l.teams[name] }
 
 // OnHost are the claims on a host. The map is the ledger's own.
-func (l *Ledger) OnHost(host string) map[Task]*Held { return l.hosts[host] }
+func (l *Ledger) OnHost(host string) map[Task]*Held {
+	if o := l.hosts[host]; o != nil {
+		return o.claims
+	}
+	return nil
+}
+
+// Used is what the claims on a host take of it. A task that is over takes
+// nothing, though its claim stands until that is durable.
+func (l *Ledger) Used(host string) Amount {
+	if o := l.hosts[host]; o != nil {
+		return o.used
+	}
+	return Amount{}
+}
 
 // ClaimedHosts are all hosts with a claim.
 func (l *Ledger) ClaimedHosts() []string {
@@ -241,10 +272,13 @@
 	j := h.Job
 	j.claims[h.Index] = h
 	j.zones[h.Zone]++
-	if l.hosts[h.Host] == nil {
-		l.hosts[h.Host] = make(map[Task]*Held)
+	o := l.hosts[h.Host]
+	if o == nil {
+		o = &onHost{claims: make(map[Task]*Held)}
+		l.hosts[h.Host] = o
 	}
-	l.hosts[h.Host][h.Task()] = h
+	o.claims[h.Task()] = h
+	o.used.add(&j.Spec, 1)
 	if u := l.usage[j.Spec.Owner]; u != nil {
 		u.CPUs += j.Spec.Cores
 		u.GPUs += j.Spec.Accel
@@ -257,8 +291,12 @@
 	if j.zones[h.Zone]--; j.zones[h.Zone] == 0 {
 		delete(j.zones, h.Zone)
 	}
-	delete(l.hosts[h.Host], h.Task())
-	if len(l.hosts[h.Host]) == 0 {
+	o := l.hosts[h.Host]
+	delete(o.claims, h.Task())
+	if !h.Over {
+		o.used.add(&j.Spec, -1)
+	}
+	if len(o.claims) == 0 {
 		delete(l.hosts, h.Host)
 	}
 	if u := l.usage[j.Spec.Owner]; u != nil {
@@ -423,6 +461,7 @@
 		return
 	}
 	h.Over = true
+	l.hosts[h.Host].used.add(&j.Spec, -1)
 	j.done++
 	c := j.chunks[h.Index/j.size]
 	c.done.set(h.Index % j.size)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -378,3 +379,53 @@
 		t.Errorf("%d keys are left of a job that is done", len(s))
 	}
 }
+
+// What a host's claims take is kept as they come and go; counted afresh it is
+// the same.
+func TestUsedEqualsRecount(t *testing.T) {
+	l := New("w", []settings.Team{{Name: "t", CPUs: 1e6, CPUsMax: 1e6}})
+	rnd := rand.New(rand.NewPCG(3, 4))
+	var held []*Held
+	for i := range 2000 {
+		ref := fmt.Sprintf("req-%d", rnd.IntN(12))
+		j := l.Job(ref)
+		if j == nil {
+			j = l.Add(ref, Record{Job: wire.Job{Owner: "t", Shape: wire.Batch, Members: 40, Cores: 0.1 + float64(rnd.IntN(9)), RAM: 1.3}, Chunk: 8}, uint64(i+1))
+		}
+		switch k := rnd.IntN(10); {
+		case k < 5:
+			if h, err := l.Claim(j, fmt.Sprintf("h%d", rnd.IntN(5)), 1, "a"); err == nil {
+				held = append(held, h)
+			}
+		case k < 6 && len(held) > 0:
+			l.Free(held[rnd.IntN(len(held))], now)
+		case k < 8 && len(held) > 0:
+			l.Finish(held[rnd.IntN(len(held))])
+		case k < 9:
+			if b := l.Next(16, 40<<10); b != nil {
+				if rnd.IntN(4) > 0 {
+					l.Committed(b, uint64(10000+i))
+				} else {
+					l.Failed(b)
+				}
+			}
+		default:
+			if rnd.IntN(20) == 0 {
+				l.Withdraw(ref)
+			}
+		}
+		for n := range 5 {
+			host := fmt.Sprintf("h%d", n)
+			var want Amount
+			for _, h := range l.OnHost(host) {
+				if !h.Over {
+					want.add(&h.Job.Spec, 1)
+				}
+			}
+			got := l.Used(host)
+			if math.Abs(got.Cores-want.Cores) > 1e-9 || math.Abs(got.RAM-want.RAM) > 1e-9 || got.Accel != want.Accel {
+				t.Fatalf("step %d, %s: %+v, counted %+v", i, host, got, want)
+			}
+		}
+	}
+}
