--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -46,6 +46,9 @@
 		return wire.Orders{}, nil, ErrNotLeading
 	}
 	now := r.now()
+	if h.Heard.IsZero() && !h.Asked.IsZero() {
+		r.log.Info("up", "host", h.Name, "flavor", h.Flavor, "zone", h.Zone, "since_asked_s", now.Sub(h.Asked).Seconds())
+	}
 	h.Heard, r.heard = now, now
 	out := wire.Orders{Epoch: epoch, Orders: []wire.Order{}}
 	if h.Tenure == rep.Tenure && h.Tick == rep.Tick {
@@ -215,6 +218,7 @@
 	if c.Running.IsZero() {
 		r.abandon(c, h)
 	}
+	r.log.Debug("ended", "task", c.Task(), "host", h.Name, "cause", cause)
 	if j.Withdrawn {
 		r.led.Free(c, now)
 		return
@@ -230,7 +234,6 @@
 			}
 		}
 	}
-	r.log.Debug("ended", "task", c.Task(), "host", h.Name, "cause", cause)
 	switch cause {
 	case wire.CauseDone:
 		if j.Spec.Shape == wire.Standing {
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -228,6 +228,7 @@
 	}
 	var rooms []*room
 	moved := make(map[string]bool)
+	few := max(4, len(r.sorted)/32)
 	for _, h := range r.sorted {
 		if !h.Draining {
 			continue
@@ -242,7 +243,7 @@
 		}
 		for _, c := range r.led.OnHost(h.Name) {
 			j := c.Job
-			if len(moved) >= 4 || moved[j.Ref] || c.Stopping || !r.settled(c, now) || j.Spec.Shape != wire.Standing ||
+			if len(moved) >= few || moved[j.Ref] || c.Stopping || !r.settled(c, now) || j.Spec.Shape != wire.Standing ||
 				j.Active() < j.Spec.Members {
 				continue
 			}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -296,11 +296,12 @@
 	slices.SortFunc(over, func(a, b Machine) int {
 		return cmp.Or(-cmp.Compare(price(a), price(b)), cmp.Compare(a.Replicas, b.Replicas), cmp.Compare(a.Name, b.Name))
 	})
+	few := max(2, len(over)/32) // draining at once
 	for _, m := range over {
 		t := types[m.Flavor]
 		idle := p.idle(m, t, now)
 		if firm+spot-t.Cores < steady+ebb || !m.Loaners && firm-t.Cores < steady ||
-			!idle && (draining >= 2 || now.Sub(m.Asked) < 3*settings.Seconds(t.ReadyS) || m.Replicas > 0 && !m.Movable()) {
+			!idle && (draining >= few || now.Sub(m.Asked) < 3*settings.Seconds(t.ReadyS) || m.Replicas > 0 && !m.Movable()) {
 			continue
 		}
 		if m.Loaners {
