--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -325,7 +325,7 @@
 	if p.last.IsZero() {
 		p.last = now
 	}
-	w := 1 - math.Exp(-now.Sub(p.last).Seconds()/(4*p.set.Lease().Seconds()))
+	w := 1 - math.Exp(-now.Sub(p.last).Seconds()/p.set.Lease().Seconds())
 	p.last = now
 	p.passing += w * (need.Passing - p.passing)
 }
