--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -505,6 +505,7 @@
 			n.Queue += s.Cores * float64(min(j.WaitingTasks(), r.led.Headroom(j)))
 		} else {
 			n.Steady += cores
+			n.SteadyJobs++
 			n.Largest = max(n.Largest, cores)
 		}
 		key := fmt.Sprint(s.Cores, s.Accel, s.RAM, s.Flavors, s.Locale, s.Loaners)
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -32,11 +32,12 @@
 
 // Need is the work on hand, in cores.
 type Need struct {
-	Steady  float64 // work that may not run on spot machines
-	Passing float64 // work that may
-	Queue   float64 // the part of it that waits now
-	Largest float64 // the largest service on hand: the next one may be like it
-	Tasks   []Shape // shapes of tasks on hand
+	Steady     float64 // work that may not run on spot machines
+	Passing    float64 // work that may
+	Queue      float64 // the part of it that waits now
+	Largest    float64 // the largest service on hand: the next one may be like it
+	SteadyJobs int
+	Tasks      []Shape // shapes of tasks on hand
 }
 
 // Shape is what a task takes and where it may run.
@@ -225,7 +226,7 @@
 func (p *Planner) frugal(types map[string]*wire.MachineType, ms []Machine, need Need, now time.Time) (plan Plan) {
 	p.smooth(need, now)
 	spare := 1 + p.set.Operator.Fleet.Spare
-	steady := need.Steady + max(need.Largest, p.set.Operator.Fleet.Spare*need.Steady)
+	steady := need.Steady + max(need.Largest, p.spare(need.SteadyJobs)*need.Steady)
 	passing := max(need.Passing, p.passing) * spare
 	// What is drained may be wanted again before another is up: let go of it
 	// only when well above the need.
@@ -319,6 +320,16 @@
 	return plan
 }
 
+// spare is the share of the work on hand that is kept warm beyond it. The more
+// jobs there are, the more evenly they come and go: the share falls with the
+// square root of their number.
+func (p *Planner) spare(jobs int) float64 {
+	return p.set.Operator.Fleet.Spare * min(1, math.Sqrt(fewJobs/float64(max(jobs, 1))))
+}
+
+// fewJobs is up to how many jobs the whole spare share is kept.
+const fewJobs = 64
+
 // smooth follows the need over a few boots, so that machines are not returned
 // in a lull and rented again at once.
 func (p *Planner) smooth(need Need, now time.Time) {
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -112,3 +112,17 @@
 		t.Errorf("after one was returned: %+v", rents)
 	}
 }
+
+// Many services even out: they need a smaller spare share than a few.
+func TestSpareFallsWithManyJobs(t *testing.T) {
+	op, err := settings.ParseOperator([]byte("<rillflow><fleet><spare>0.2</spare></fleet></rillflow>"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := NewPlanner(&settings.Settings{Operator: op}, 1)
+	for jobs, want := range map[int]float64{0: 0.2, 10: 0.2, 64: 0.2, 256: 0.1, 1024: 0.05} {
+		if got := p.spare(jobs); got != want {
+			t.Errorf("%d jobs: %v, want %v", jobs, got, want)
+		}
+	}
+}
