Fleet: rent for what must run at once; slow boots and single zones not counted on

Cause: in the first half minute, and in each peak, machines were rented for every waiting task at once, firm ones too, though most work has time for two rounds (4,100 firm cores for 1,900 cores of replicas; 30% of the first 80 s went into boots). Now spot machines follow the need over a lease, or at once what must run at once to be in time, and firm ones only a queue that would else be late. Machines that boot for more than 1.6 of ready_s are no longer counted on, and the firm room of a second zone is kept for the largest spread service.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"testing"
 	"time"
 
@@ -160,6 +161,30 @@
 	}
 }
 
+// Work with time for several rounds needs fewer machines at once.
+func TestPace(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		job   wire.Job
+		after time.Duration
+		want  float64
+	}{
+		{"no time stated: all at once", wire.Job{Class: "x", ExpectS: 20}, 0, 1},
+		{"time for two rounds and a half, half of it counted on", wire.Job{Class: "d", ExpectS: 20, DueS: 80}, 0, 1. / 3},
+		{"less as it runs out", wire.Job{Class: "d", ExpectS: 20, DueS: 80}, time.Minute, 2. / 3},
+		{"none to spare", wire.Job{Class: "d", ExpectS: 20, DueS: 80}, 90 * time.Second, 1},
+		{"too late: the next time counts", wire.Job{Class: "f", ExpectS: 20}, 50 * time.Second, 40. / 70},
+		{"all missed", wire.Job{Class: "f", ExpectS: 20}, time.Hour, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := term(t)
+			if got := r.pace(r.add("req-1", tc.job), now.Add(tc.after)); math.Abs(got-tc.want) > 1e-9 {
+				t.Errorf("got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
 // Rooms add up for a large task that small ones would starve.
 func TestHold(t *testing.T) {
 	r := term(t)
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -11,6 +11,7 @@
 	"rillflow/internal/agent"
 	"rillflow/internal/ledger"
 	"rillflow/internal/placement"
+	"rillflow/internal/settings"
 	"rillflow/internal/wire"
 )
 
@@ -348,18 +349,39 @@
 	u := urgency{work: float64(j.Unfinished()) * max(j.Spec.Cores, 1) * max(j.Spec.ExpectS, 1)}
 	done := now.Sub(j.At).Seconds() + j.Spec.ExpectS
 	for _, o := range r.set.Facts.Objectives {
-		if o.Class != j.Spec.Class {
-			continue
-		}
-		switch {
-		case o.Kind == "finished" && done > o.WithinS,
-			o.Kind == "deadline" && j.Spec.DueS > 0 && done > j.Spec.DueS*max(o.Times, 1):
+		if by := wanted(o, &j.Spec); by > 0 && done > by {
 			u.stage++
 		}
 	}
 	return u
 }
 
+// wanted is the time after its submission by which an objective wants a job
+// done, in seconds; 0 if it names none.
+func wanted(o settings.Objective, s *wire.Job) float64 {
+	switch {
+	case o.Class != s.Class:
+		return 0
+	case o.Kind == "finished":
+		return o.WithinS
+	case o.Kind == "deadline":
+		return s.DueS * max(o.Times, 1)
+	}
+	return 0
+}
+
+// left is the time until the first that a job can still be done by, in seconds;
+// 0 if there is none.
+func (r *reign) left(j *ledger.Job, now time.Time) float64 {
+	age, least := now.Sub(j.At).Seconds(), 0.0
+	for _, o := range r.set.Facts.Objectives {
+		if left := wanted(o, &j.Spec) - age; left >= j.Spec.ExpectS && (least == 0 || left < least) {
+			least = left
+		}
+	}
+	return least
+}
+
 func (u urgency) compare(v urgency) int {
 	return cmp.Or(cmp.Compare(u.stage, v.stage), cmp.Compare(u.work, v.work))
 }
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -187,7 +187,7 @@
 		var bad []string
 		var plan fleet.Plan
 		if types := r.types.Types(); types != nil && now.Sub(r.began) > r.set.Report() {
-			plan = r.rents.Plan(types, r.machines(now), r.need(), now)
+			plan = r.rents.Plan(types, r.machines(now), r.need(now), now)
 		}
 		for _, name := range plan.Leave {
 			// Not a host that was given a task since it was looked at.
@@ -443,7 +443,7 @@
 		claims := r.led.OnHost(h.Name)
 		m := fleet.Machine{
 			Name: h.Name, Flavor: h.Flavor, Zone: h.Zone, Loaners: h.Loaners,
-			Up: !h.Heard.IsZero(), Leaving: leaving || !h.WarnAt.IsZero() || r.badHost(h),
+			Up: !h.Heard.IsZero(), Booting: h.Heard.IsZero() && h.Running.IsZero(), Leaving: leaving || !h.WarnAt.IsZero() || r.badHost(h),
 			Draining: h.Draining, Asked: h.Asked,
 			Movable: func() bool {
 				if rooms == nil {
@@ -455,6 +455,7 @@
 		for _, c := range claims {
 			if c.Job.Spec.Shape == wire.Standing {
 				m.Replicas++
+				m.Taken += c.Job.Spec.Cores
 			}
 		}
 		if m.Up && len(h.Members) == 0 && len(claims) == 0 {
@@ -490,10 +491,10 @@
 }
 
 // need sums up the work on hand.
-func (r *reign) need() fleet.Need {
+func (r *reign) need(now time.Time) fleet.Need {
 	var n fleet.Need
 	seen := make(map[string]int)
-	passing := make(map[string]float64)
+	passing, paced := make(map[string]float64), make(map[string]float64)
 	for _, j := range r.led.Jobs() {
 		if j.Withdrawn || j.Finished {
 			continue
@@ -502,10 +503,14 @@
 		cores := s.Cores * float64(j.Unfinished())
 		if s.Loaners {
 			passing[s.Owner] += cores
+			paced[s.Owner] += cores * r.pace(j, now)
 			n.Queue += s.Cores * float64(min(j.WaitingTasks(), r.led.Headroom(j)))
 		} else {
 			n.Steady += cores
 			n.SteadyJobs++
+			if s.Scatter {
+				n.Spread = max(n.Spread, s.Cores*float64(s.Members/2))
+			}
 			n.Largest = max(n.Largest, cores)
 		}
 		key := fmt.Sprint(s.Cores, s.Accel, s.RAM, s.Flavors, s.Locale, s.Loaners)
@@ -519,10 +524,22 @@
 	}
 	for team, cores := range passing {
 		n.Passing += min(cores, r.led.Team(team).CPUsMax)
+		n.Paced += min(paced[team], r.led.Team(team).CPUsMax)
 	}
 	return n
 }
 
+// pace is the share of a job's unfinished tasks that must run at once for it to
+// be in time: all of them, or fewer where its time allows for more than one
+// round. Half of the time left is counted on: run times are estimates, and the
+// longest task of a job ends it.
+func (r *reign) pace(j *ledger.Job, now time.Time) float64 {
+	if left := r.left(j, now); left > 2*j.Spec.ExpectS {
+		return 2 * j.Spec.ExpectS / left
+	}
+	return 1
+}
+
 // watchParts has the hosts parted anew when a node comes or goes, and hands
 // over when the state service refuses this node alone.
 func (r *reign) watchParts(ctx context.Context) error {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -18,12 +19,14 @@
 	Zone    string
 	Loaners bool
 	Up      bool      // its worker reports
+	Booting bool      // neither does it, nor is it listed as running
 	Idle    time.Time // since when nothing is on it; zero: busy or not up
 	Leaving bool      // it is to go whatever the need
 
 	Asked    time.Time // when it was rented, as far as is known
 	Draining bool      // it takes no new tasks, and goes once empty
 	Replicas int
+	Taken    float64 // cores that replicas take of it
 	// Movable tells whether every replica on it has a warm place elsewhere,
 	// and keeps the places. It looks at every room, so it is asked only of a
 	// machine that would be drained.
@@ -35,7 +38,9 @@
 	Steady     float64 // work that may not run on spot machines
 	Passing    float64 // work that may
 	Queue      float64 // the part of it that waits now
+	Paced      float64 // the part of it that must run at once to be in time
 	Largest    float64 // the largest service on hand: the next one may be like it
+	Spread     float64 // what the largest one that is spread may not have in one zone
 	SteadyJobs int
 	Tasks      []Shape // shapes of tasks on hand
 }
@@ -227,17 +232,18 @@
 	p.smooth(need, now)
 	spare := 1 + p.set.Operator.Fleet.Spare
 	steady := need.Steady + max(need.Largest, p.spare(need.SteadyJobs)*need.Steady)
-	passing := max(need.Passing, p.passing) * spare
+	passing := max(need.Paced, p.passing) * spare
 	// What is drained may be wanted again before another is up: let go of it
 	// only when well above the need.
 	ebb := spare * passing
 
 	var firm, spot, ebbing float64
 	perZone := make(map[string]float64)
+	free := make(zones) // firm room that replicas could have
 	draining := 0
 	for _, m := range ms {
 		t := types[m.Flavor]
-		if t == nil || m.Leaving {
+		if t == nil || m.Leaving || p.overdue(m, t, now) {
 			continue
 		}
 		if m.Draining {
@@ -253,6 +259,7 @@
 		} else {
 			firm += t.Cores
 			perZone[m.Zone] += t.Cores
+			free[m.Zone] += t.Cores - m.Taken
 		}
 	}
 
@@ -267,14 +274,19 @@
 		slices.SortStableFunc(os, func(a, b offer) int { return cmp.Compare(perZone[a.zone], perZone[b.zone]) })
 		plan.Rents = p.fill(plan.Rents, os, types, lack, false)
 		plan.Keep = true
+	} else if top, second := free.best(); second < need.Spread {
+		os := slices.DeleteFunc(p.offers(types, false, need, now), func(o offer) bool { return o.zone == top })
+		plan.Rents = p.fill(plan.Rents, os, types, need.Spread-second, false)
+		plan.Keep = len(os) > 0
 	}
 	if lack := passing - room; lack > 0 {
 		os := p.offers(types, true, need, now)
 		if len(os) > 0 {
 			plan.Rents = p.fill(plan.Rents, os, types, lack, true)
-		} else if over := need.Queue - room; over > 0 {
+		} else if over := min(need.Queue, need.Paced) - room; over > 0 {
 			// Firm machines for such work only when the queue is longer than
-			// what the room there is takes on in about a boot's time.
+			// what the room there is takes on in about a boot's time, and
+			// would be late.
 			plan.Rents = p.fill(plan.Rents, p.offers(types, false, need, now), types, min(lack, over), false)
 		}
 		plan.Keep = true
@@ -301,7 +313,7 @@
 	for _, m := range over {
 		t := types[m.Flavor]
 		idle := p.idle(m, t, now)
-		if firm+spot-t.Cores < steady+ebb || !m.Loaners && firm-t.Cores < steady ||
+		if firm+spot-t.Cores < steady+ebb || !m.Loaners && (firm-t.Cores < steady || free.without(m.Zone, t.Cores) < need.Spread) ||
 			!idle && (draining >= few || now.Sub(m.Asked) < 3*settings.Seconds(t.ReadyS) || m.Replicas > 0 && !m.Movable()) {
 			continue
 		}
@@ -309,6 +321,7 @@
 			spot -= t.Cores
 		} else {
 			firm -= t.Cores
+			free[m.Zone] -= t.Cores
 		}
 		if idle {
 			plan.Leave = append(plan.Leave, m.Name)
@@ -320,6 +333,39 @@
 	return plan
 }
 
+// zones are amounts by zone.
+type zones map[string]float64
+
+// best is the zone with the most, and how much the next has.
+func (z zones) best() (top string, second float64) {
+	names := slices.SortedFunc(maps.Keys(z), func(a, b string) int { return cmp.Or(-cmp.Compare(z[a], z[b]), cmp.Compare(a, b)) })
+	switch len(names) {
+	case 0:
+		return "", 0
+	case 1:
+		return names[0], 0
+	}
+	return names[0], z[names[1]]
+}
+
+// without is how much the next-best zone has once one has so much less.
+func (z zones) without(zone string, less float64) float64 {
+	z[zone] -= less
+	_, second := z.best()
+	z[zone] += less
+	return second
+}
+
+// overdue tells whether a machine takes so long to boot that it may never come
+// up: it is not counted on, and another takes its place.
+func (p *Planner) overdue(m Machine, t *wire.MachineType, now time.Time) bool {
+	return m.Booting && float64(now.Sub(m.Asked)) > slowBoot*float64(settings.Seconds(t.ReadyS))
+}
+
+// slowBoot is how long machines take to boot at most as a rule, as a ratio to
+// ready_s.
+const slowBoot = 1.6
+
 // spare is the share of the work on hand that is kept warm beyond it. The more
 // jobs there are, the more evenly they come and go: the share falls with the
 // square root of their number.
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -44,9 +44,17 @@
 		{"nothing to do, nothing rented", nil, Need{}, "", 0, nil},
 		{"replicas want firm machines, the cheapest core", nil, Need{Steady: 6, Tasks: []Shape{service}}, "s a firm", 2, nil},
 		{"the zone with the least goes first", []Machine{{Flavor: "s", Zone: "a"}}, Need{Steady: 8, Tasks: []Shape{service}}, "s b firm", 1, nil},
-		{"arrays run on spot", nil, Need{Passing: 8, Tasks: []Shape{array}}, "s a spot", 2, nil},
-		{"only types that a task fits", nil, Need{Passing: 8, Tasks: []Shape{{Cores: 8, Loaners: true}}}, "l a spot", 1, nil},
-		{"machines that boot count", []Machine{{Flavor: "l", Loaners: true}}, Need{Passing: 8, Tasks: []Shape{array}}, "", 0, nil},
+		{"arrays run on spot", nil, Need{Passing: 8, Paced: 8, Tasks: []Shape{array}}, "s a spot", 2, nil},
+		{"only types that a task fits", nil, Need{Passing: 8, Paced: 8, Tasks: []Shape{{Cores: 8, Loaners: true}}}, "l a spot", 1, nil},
+		{"only what must run at once, at first", nil, Need{Passing: 16, Paced: 8, Tasks: []Shape{array}}, "s a spot", 2, nil},
+		{"machines that boot count", []Machine{{Flavor: "l", Loaners: true}}, Need{Passing: 8, Paced: 8, Tasks: []Shape{array}}, "", 0, nil},
+		{"one that boots for too long does not", []Machine{{Flavor: "l", Loaners: true, Booting: true, Asked: now.Add(-40 * time.Second)}}, Need{Passing: 8, Paced: 8, Tasks: []Shape{array}}, "s a spot", 2, nil},
+		{"one that may still come up in time does", []Machine{{Flavor: "l", Loaners: true, Booting: true, Asked: now.Add(-30 * time.Second)}}, Need{Passing: 8, Paced: 8, Tasks: []Shape{array}}, "", 0, nil},
+		{"a spread service needs room in a second zone", []Machine{{Flavor: "l", Zone: "a"}}, Need{Steady: 4, Spread: 2, Tasks: []Shape{service}}, "s b firm", 1, nil},
+		{"what replicas take there is no room", []Machine{{Flavor: "l", Zone: "a"}, {Flavor: "s", Zone: "b", Taken: 4}}, Need{Steady: 8, Spread: 2, Tasks: []Shape{service}}, "s b firm", 1, nil},
+		{"the second zone's room stays", []Machine{
+			{Name: "x", Flavor: "l", Zone: "a", Up: true, Idle: old, Asked: old}, {Name: "y", Flavor: "s", Zone: "b", Up: true, Idle: old, Asked: old},
+		}, Need{Steady: 2, Spread: 2, Tasks: []Shape{service}}, "", 0, nil},
 		{"idle machines go", []Machine{{Name: "x", Flavor: "s", Loaners: true, Up: true, Idle: old, Asked: old}}, Need{}, "", 0, []string{"x"}},
 		{"not in the first moments", []Machine{{Name: "x", Flavor: "s", Loaners: true, Up: true, Idle: now.Add(-time.Second), Asked: now.Add(-time.Second)}}, Need{}, "", 0, nil},
 		{"the dearest core goes first", []Machine{
@@ -89,7 +97,7 @@
 // request name is used twice.
 func TestRefusals(t *testing.T) {
 	p := planner(t, "always")
-	need := Need{Passing: 4, Tasks: []Shape{{Cores: 4, Loaners: true}}}
+	need := Need{Passing: 4, Paced: 4, Tasks: []Shape{{Cores: 4, Loaners: true}}}
 	seen := map[string]bool{}
 	var last wire.Rent
 	for i := range 3 {
