--- a/internal/control/flush.go
+++ b/internal/control/flush.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 
 	"rillflow/internal/lead"
 	"rillflow/internal/ledger"
@@ -25,14 +26,22 @@
 			return ctx.Err()
 		case <-r.flushes:
 		}
+		if err := r.gather(ctx); err != nil {
+			return err
+		}
 		for try := 0; ; {
+			// The end of a job takes three changes, so that is the least.
+			room, err := r.st.WriteRoom(ctx, 3)
+			if err != nil {
+				return err
+			}
 			r.mu.Lock()
-			b := r.led.Next(r.set.Facts.State.TxnOps, txnBytes)
+			b := r.led.Next(min(room, r.set.Facts.State.TxnOps), txnBytes)
 			r.mu.Unlock()
 			if b == nil {
 				break
 			}
-			err := r.commit(ctx, b)
+			err = r.commit(ctx, b)
 			if errors.Is(err, state.ErrRefused) {
 				if !state.Backoff(ctx, try, r.set.Report()/64, r.set.Report()/4) {
 					return ctx.Err()
@@ -48,6 +57,29 @@
 	}
 }
 
+// gather waits a moment where only finishes are to be written: nobody waits for
+// them, and the tasks that take the freed rooms are often of the same jobs, so
+// that one change holds both.
+func (r *reign) gather(ctx context.Context) error {
+	end := time.NewTimer(r.set.Report() / 16)
+	defer end.Stop()
+	for {
+		r.mu.Lock()
+		urgent := r.led.Urgent()
+		r.mu.Unlock()
+		if urgent {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-end.C:
+			return nil
+		case <-r.flushes:
+		}
+	}
+}
+
 // commit sees one batch through until its fate is known. A nil error means
 // that the ledger was told; ErrRefused, that the batch is to be made again.
 func (r *reign) commit(ctx context.Context, b *ledger.Batch) error {
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -186,7 +186,8 @@
 		now := r.now()
 		var bad []string
 		var plan fleet.Plan
-		if types := r.types.Types(); types != nil && now.Sub(r.began) > r.set.Report() {
+		// What an earlier leader rented shows within a report interval.
+		if types := r.types.Types(); types != nil && (r.term.First == 1 || now.Sub(r.began) > r.set.Report()) {
 			plan = r.rents.Plan(types, r.machines(now), r.need(now), now)
 		}
 		for _, name := range plan.Leave {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -120,6 +120,7 @@
 		reply(w, http.StatusOK, p)
 		return
 	}
+	began := u.now()
 	fresh, err := u.accept(ctx, job)
 	if err != nil {
 		u.log.Debug("submit", "job", ref, "err", err)
@@ -127,7 +128,7 @@
 		return
 	}
 	if fresh {
-		u.log.Info("accepted", "job", ref, "class", job.Class, "owner", job.Owner, "tasks", job.Members, "cores", job.Cores, "ram_gb", job.RAM, "expect_s", job.ExpectS, "bundle", job.Bundle, "size_gb", job.SizeGB)
+		u.log.Info("accepted", "job", ref, "class", job.Class, "owner", job.Owner, "tasks", job.Members, "cores", job.Cores, "ram_gb", job.RAM, "expect_s", job.ExpectS, "bundle", job.Bundle, "size_gb", job.SizeGB, "took_ms", u.now().Sub(began).Milliseconds())
 		reply(w, http.StatusCreated, wire.Phase{Ref: ref, Phase: wire.Queued})
 		return
 	}
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -29,15 +29,29 @@
 // Empty tells whether nothing needs writing.
 func (l *Ledger) Empty() bool { return len(l.dirty) == 0 }
 
+// Urgent tells whether a claim waits to be written, or a job's end.
+func (l *Ledger) Urgent() bool {
+	return slices.ContainsFunc(l.dirty, func(d dirtyChunk) bool {
+		return d.job.Finished || l.claiming(d)
+	})
+}
+
+// claiming tells whether a chunk has claims to be written, without which their
+// tasks cannot start.
+func (l *Ledger) claiming(d dirtyChunk) bool {
+	c := d.job.chunks[d.n]
+	return c != nil && c.dirty && c.fresh > 0 && !d.job.Withdrawn
+}
+
 // Next makes a batch of at most ops changes and bytes bytes, or nil when
 // nothing needs writing. Until Committed or Failed is called with it, no other
-// batch may be made. Claims and finishes go first, then the tidying of jobs
+// batch may be made. Claims go first, then finishes, then the tidying of jobs
 // that are over.
 func (l *Ledger) Next(ops, size int) *Batch {
 	l.writes++
 	b := &Batch{Writer: fmt.Sprintf("%s.%d", l.writer, l.writes)}
 	slices.SortStableFunc(l.dirty, func(a, c dirtyChunk) int {
-		return rankOf(a.job) - rankOf(c.job)
+		return l.rankOf(a) - l.rankOf(c)
 	})
 	var left []dirtyChunk
 	guarded := make(map[string]bool)
@@ -106,11 +120,14 @@
 	return b
 }
 
-func rankOf(j *Job) int {
-	if j.Withdrawn {
-		return 1
+func (l *Ledger) rankOf(d dirtyChunk) int {
+	switch {
+	case d.job.Withdrawn:
+		return 2
+	case l.claiming(d):
+		return 0
 	}
-	return 0
+	return 1
 }
 
 // Keys are the chunk keys the batch writes.
@@ -168,6 +185,7 @@
 				continue
 			}
 			h.Committed = true
+			c.fresh--
 			if j.Withdrawn && !h.Sent {
 				l.unhold(h) // withdrawn meanwhile, never launched
 				continue
--- a/internal/ledger/chunk.go
+++ b/internal/ledger/chunk.go
@@ -25,6 +25,7 @@
 	done   bitmap
 	claims map[int]Claim // by task
 	dirty  bool
+	fresh  int    // claims not durable yet
 	write  uint64 // number of the last write, to know one's own
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -303,7 +303,11 @@
 		u.CPUs -= j.Spec.Cores
 		u.GPUs -= j.Spec.Accel
 	}
-	delete(j.chunks[h.Index/j.size].claims, h.Index%j.size)
+	c := j.chunks[h.Index/j.size]
+	delete(c.claims, h.Index%j.size)
+	if !h.Committed {
+		c.fresh--
+	}
 	l.touch(j, h.Index/j.size)
 }
 
@@ -421,6 +425,7 @@
 	}
 	h := &Held{Claim: Claim{Host: host, Tenure: tenure, Try: c.seq, Zone: zone}, Job: j, Index: i}
 	c.claims[i%j.size] = h.Claim
+	c.fresh++
 	l.hold(h)
 	l.touch(j, n)
 	return h, nil
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -380,9 +380,9 @@
 	}
 }
 
-// What a host's claims take is kept as they come and go; counted afresh it is
-// the same.
-func TestUsedEqualsRecount(t *testing.T) {
+// What a host's claims take, and how many are not durable, is kept as they come
+// and go; counted afresh it is the same.
+func TestSumsEqualRecount(t *testing.T) {
 	l := New("w", []settings.Team{{Name: "t", CPUs: 1e6, CPUsMax: 1e6}})
 	rnd := rand.New(rand.NewPCG(3, 4))
 	var held []*Held
@@ -414,6 +414,19 @@
 				l.Withdraw(ref)
 			}
 		}
+		for _, j := range l.Jobs() {
+			for n, c := range j.chunks {
+				fresh := 0
+				for i := n * j.size; i < (n+1)*j.size; i++ {
+					if h := j.claims[i]; h != nil && !h.Committed {
+						fresh++
+					}
+				}
+				if fresh != c.fresh {
+					t.Fatalf("step %d, %s/%d: %d claims not durable, counted %d", i, j.Ref, n, c.fresh, fresh)
+				}
+			}
+		}
 		for n := range 5 {
 			host := fmt.Sprintf("h%d", n)
 			var want Amount
@@ -429,3 +442,28 @@
 		}
 	}
 }
+
+// Where not all fits a batch, claims go first: their tasks wait for it.
+func TestClaimsAreWrittenFirst(t *testing.T) {
+	l := New("w", teams())
+	old := l.Add("req-1", Record{Job: wire.Job{Owner: "b", Shape: wire.Batch, Members: 4, Cores: 1}, Chunk: 4}, 1)
+	h, err := l.Claim(old, "h1", 1, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Committed(l.Next(16, 40<<10), 2)
+	l.Finish(h)
+	if l.Urgent() {
+		t.Error("a finish alone is urgent")
+	}
+	young := l.Add("req-2", Record{Job: wire.Job{Owner: "b", Shape: wire.Batch, Members: 4, Cores: 1}, Chunk: 4}, 3)
+	if _, err := l.Claim(young, "h1", 1, "a"); err != nil {
+		t.Fatal(err)
+	}
+	if !l.Urgent() {
+		t.Error("a claim is not urgent")
+	}
+	if b := l.Next(1, 40<<10); len(b.Refs()) != 1 || b.Refs()[0] != "req-2" {
+		t.Errorf("first %v, want the claim", b.Refs())
+	}
+}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"rillflow/internal/wire"
@@ -78,3 +79,34 @@
 		t.Errorf("%d %v %v", gen, failed, err)
 	}
 }
+
+// Bulk writes leave a part of the budget, so that a single write in between
+// need not wait.
+func TestWriteRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(Options{Addr: "state:1", RPS: 100, WriteRPS: 8, Timeout: time.Second})
+		n, err := c.WriteRoom(t.Context(), 3)
+		if n != 6 || err != nil {
+			t.Fatalf("room for %d (%v), want all but a quarter", n, err)
+		}
+		c.writes.AllowN(time.Now(), n)
+		began := time.Now()
+		single := make(chan time.Duration)
+		go func() {
+			c.writes.Wait(t.Context())
+			single <- time.Since(began)
+		}()
+		if d := <-single; d > 0 {
+			t.Errorf("a single write waited %v", d)
+		}
+		if n, err = c.WriteRoom(t.Context(), 3); n != 3 || err != nil || time.Since(began).Round(time.Millisecond) != 500*time.Millisecond {
+			t.Errorf("room for %d after %v (%v)", n, time.Since(began), err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		c.writes.AllowN(time.Now(), 5)
+		if _, err := c.WriteRoom(ctx, 3); err == nil {
+			t.Error("waits on after its context ended")
+		}
+	})
+}
