--- a/cmd/rillflow/main.go
+++ b/cmd/rillflow/main.go
@@ -21,8 +21,6 @@
 	"rillflow/internal/settings"
 )
 
-const version = "0.1.0"
-
 type cli struct {
 	Serve   serveCmd   `cmd:"" help:"Run a controller."`
 	Check   checkCmd   `cmd:"" help:"Check settings without starting anything."`
@@ -95,7 +93,7 @@
 type versionCmd struct{}
 
 func (versionCmd) Run() error {
-	fmt.Println("rillflow", version)
+	fmt.Println("rillflow", serve.Version)
 	return nil
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -78,6 +78,7 @@
 
 	flushes chan struct{}
 	plans   chan struct{}
+	chains  chan struct{}
 	raises  chan struct{}
 
 	mu     sync.Mutex
@@ -97,7 +98,7 @@
 	g, gctx := errgroup.WithContext(ctx)
 	r := &reign{
 		Control: c, term: term, ready: make(chan struct{}), group: g, ctx: gctx,
-		flushes: make(chan struct{}, 1), plans: make(chan struct{}, 1), raises: make(chan struct{}, 1),
+		flushes: make(chan struct{}, 1), plans: make(chan struct{}, 1), chains: make(chan struct{}, 1), raises: make(chan struct{}, 1),
 		led:    ledger.New(fmt.Sprintf("%s.%d", c.set.Node, term.First), c.set.Facts.Teams),
 		hosts:  make(map[string]*agent.Host),
 		gone:   make(map[string]time.Time),
@@ -115,11 +116,12 @@
 	close(r.ready)
 	for _, duty := range []func(context.Context) error{
 		func(ctx context.Context) error { return r.follow(ctx, gen) },
-		r.flush, r.plan, r.tend, r.raise, r.rent, r.reclaim, r.watchParts,
+		r.flush, r.plan, r.chain, r.tend, r.raise, r.rent, r.reclaim, r.watchParts,
 	} {
 		g.Go(func() error { return duty(gctx) })
 	}
 	kick(r.plans)
+	kick(r.chains)
 	return g.Wait()
 }
 
@@ -234,6 +236,7 @@
 		}
 		r.mu.Unlock()
 		kick(r.plans)
+		kick(r.chains)
 	}
 	return ctx.Err()
 }
@@ -244,7 +247,11 @@
 	if j == nil || j.Withdrawn {
 		return
 	}
-	r.log.Info("withdrawn", "job", ref, "claims", j.Active())
+	if by := j.Doomed(); by != "" {
+		r.log.Info("withdrawn", "job", ref, "claims", j.Active(), "because_of", by)
+	} else {
+		r.log.Info("withdrawn", "job", ref, "claims", j.Active())
+	}
 	hosts := make(map[string]bool)
 	for _, h := range r.led.HeldBy(j) {
 		hosts[h.Host] = true
@@ -256,6 +263,7 @@
 		}
 	}
 	kick(r.flushes)
+	kick(r.chains)
 }
 
 // raise moves the epoch on, when a command of unknown fate must be fenced off
--- a/internal/control/flush.go
+++ b/internal/control/flush.go
@@ -36,7 +36,7 @@
 				return err
 			}
 			r.mu.Lock()
-			b := r.led.Next(min(room, r.set.Facts.State.TxnOps), txnBytes)
+			b := r.led.Next(ledger.Limits{Ops: min(room, r.set.Facts.State.Least().TxnOps), Bytes: txnBytes, Value: r.st.Value()}, r.now())
 			r.mu.Unlock()
 			if b == nil {
 				break
@@ -109,7 +109,10 @@
 			return r.rejected(b, failed)
 		case err == nil:
 			return r.rejected(b, failed)
-		case errors.Is(err, state.ErrRefused) && !unsure:
+		case errors.Is(err, state.ErrRefused) && !unsure, errors.Is(err, state.ErrTooLarge):
+			// What is too large is never to be sent again as it is, not even
+			// to learn whether it was applied before the limits fell: the
+			// batch made instead has the same guards and tells.
 			r.mu.Lock()
 			r.led.Failed(b)
 			r.mu.Unlock()
@@ -186,6 +189,7 @@
 	for _, j := range res.Ended {
 		r.log.Info("done", "job", j.Ref, "tasks", j.Spec.Members, "took_s", r.now().Sub(j.At).Seconds())
 	}
+	r.readied(res.Ready)
 	if len(res.Over) > 0 {
 		kick(r.plans)
 	}
--- a/internal/control/gang.go
+++ b/internal/control/gang.go
@@ -20,7 +20,7 @@
 		}
 	}
 	slices.SortFunc(js, func(a, b *ledger.Job) int {
-		return cmp.Or(cmp.Compare(r.tier(a), r.tier(b)), a.At.Compare(b.At), cmp.Compare(a.Ref, b.Ref))
+		return cmp.Or(cmp.Compare(r.tier(a), r.tier(b)), a.ReadyAt.Compare(b.ReadyAt), cmp.Compare(a.Ref, b.Ref))
 	})
 	n := 0
 	for _, j := range js {
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -278,8 +278,8 @@
 func (r *reign) queues(now time.Time) []*queue {
 	byName := make(map[string]*queue)
 	for _, j := range r.led.Jobs() {
-		if j.Withdrawn || j.Finished {
-			continue
+		if j.Withdrawn || j.Finished || !j.Ready() {
+			continue // what waits for another job is no queue's yet
 		}
 		if j.Type == "" {
 			j.Type = r.typeOf(j)
@@ -317,7 +317,7 @@
 		es[i] = entry{j, r.urgency(j, now)}
 	}
 	slices.SortFunc(es, func(a, b entry) int {
-		return cmp.Or(a.u.compare(b.u), a.j.At.Compare(b.j.At), cmp.Compare(a.j.Ref, b.j.Ref))
+		return cmp.Or(a.u.compare(b.u), a.j.ReadyAt.Compare(b.j.ReadyAt), cmp.Compare(a.j.Ref, b.j.Ref))
 	})
 	for i, e := range es {
 		jobs[i] = e.j
@@ -347,35 +347,33 @@
 // work left, for then the most jobs are in time when there is not room for all.
 func (r *reign) urgency(j *ledger.Job, now time.Time) urgency {
 	u := urgency{work: float64(j.Unfinished()) * max(j.Spec.Cores, 1) * max(j.Spec.ExpectS, 1)}
-	done := now.Sub(j.At).Seconds() + j.Spec.ExpectS
-	for _, o := range r.set.Facts.Objectives {
-		if by := wanted(o, &j.Spec); by > 0 && done > by {
+	done := now.Add(settings.Seconds(j.Spec.ExpectS))
+	for k := range r.set.Facts.Objectives {
+		if by := r.wanted(k, j); !by.IsZero() && done.After(by) {
 			u.stage++
 		}
 	}
 	return u
 }
 
-// wanted is the time after its submission by which an objective wants a job
-// done, in seconds; 0 if it names none.
-func wanted(o settings.Objective, s *wire.Job) float64 {
-	switch {
-	case o.Class != s.Class:
-		return 0
-	case o.Kind == "finished":
-		return o.WithinS
-	case o.Kind == "deadline":
-		return s.DueS * max(o.Times, 1)
+// wanted is the time by which an objective, given by its number, wants a job
+// done; zero if it names none. A deadline counts from the submission and binds
+// what the job needs too, all else counts from when the job could start.
+func (r *reign) wanted(k int, j *ledger.Job) time.Time {
+	o := &r.set.Facts.Objectives[k]
+	if o.Kind == "finished" && o.Class == j.Spec.Class {
+		return j.ReadyAt.Add(settings.Seconds(o.WithinS))
 	}
-	return 0
+	return r.lift(j).Due[k]
 }
 
 // left is the time until the first that a job can still be done by, in seconds;
 // 0 if there is none.
 func (r *reign) left(j *ledger.Job, now time.Time) float64 {
-	age, least := now.Sub(j.At).Seconds(), 0.0
-	for _, o := range r.set.Facts.Objectives {
-		if left := wanted(o, &j.Spec) - age; left >= j.Spec.ExpectS && (least == 0 || left < least) {
+	least := 0.0
+	for k := range r.set.Facts.Objectives {
+		by := r.wanted(k, j)
+		if left := by.Sub(now).Seconds(); !by.IsZero() && left >= j.Spec.ExpectS && (least == 0 || left < least) {
 			least = left
 		}
 	}
@@ -442,9 +440,9 @@
 // each by rank.
 func (r *reign) tier(j *ledger.Job) int {
 	if r.led.Guaranteed(j) {
-		return rankOf(j.Spec.Rank)
+		return r.rank(j)
 	}
-	return rankOf("idle") + 1 + rankOf(j.Spec.Rank)
+	return rankOf("idle") + 1 + r.rank(j)
 }
 
 // rankOf orders ranks.
--- a/internal/control/preempt.go
+++ b/internal/control/preempt.go
@@ -13,7 +13,7 @@
 	var rooms []*room
 	for _, q := range queues {
 		for _, j := range q.jobs {
-			if rankOf(j.Spec.Rank) >= rankOf("standard") || j.WaitingTasks() == 0 || j.Gang() ||
+			if r.rank(j) >= rankOf("standard") || j.WaitingTasks() == 0 || j.Gang() ||
 				now.Sub(j.WaitingSince) < r.set.Report()/16 || now.Before(j.PreemptAt) {
 				continue
 			}
@@ -52,7 +52,7 @@
 		for _, c := range r.led.OnHost(m.h.Name) {
 			s := &c.Job.Spec
 			if c.Over || c.Stopping || !c.Committed || c.Job.Withdrawn || c.Job.Gang() ||
-				rankOf(s.Rank) <= rankOf(j.Spec.Rank) || r.tier(c.Job) <= tier ||
+				r.rank(c.Job) <= r.rank(j) || r.tier(c.Job) <= tier ||
 				!within(&j.Spec, m.cores+s.Cores, m.accel+s.Accel, m.ram+s.RAM) {
 				continue
 			}
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -497,7 +497,7 @@
 	seen := make(map[string]int)
 	passing, paced := make(map[string]float64), make(map[string]float64)
 	for _, j := range r.led.Jobs() {
-		if j.Withdrawn || j.Finished {
+		if j.Withdrawn || j.Finished || !j.Ready() {
 			continue
 		}
 		s := &j.Spec
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -10,7 +10,7 @@
 
 // latencies keeps how long things took, in milliseconds.
 type latencies struct {
-	start *hdrhistogram.Histogram // submission to first running
+	start *hdrhistogram.Histogram // from ready to running
 }
 
 func newLatencies() *latencies {
@@ -43,14 +43,26 @@
 
 // View is the operator's look at the leader.
 type View struct {
-	Epoch  uint64           `json:"epoch"`
-	Jobs   int              `json:"jobs"`
-	Claims int              `json:"claims"`
-	Hosts  []HostView       `json:"hosts"`
-	Queues []QueueView      `json:"queues"`
-	Start  map[string]int64 `json:"start_ms"`
+	Epoch  uint64      `json:"epoch"`
+	Jobs   int         `json:"jobs"`
+	Claims int         `json:"claims"`
+	Hosts  []HostView  `json:"hosts"`
+	Queues []QueueView `json:"queues"`
+	// Waiting are jobs that wait for others, the first of them.
+	Waiting []WaitingView    `json:"waiting,omitempty"`
+	Start   map[string]int64 `json:"start_ms"`
 }
 
+// WaitingView is a job that waits for others.
+type WaitingView struct {
+	Job     string   `json:"job"`
+	Class   string   `json:"class"`
+	WaitsOn []string `json:"waits_on"`
+}
+
+// maxWaiting bounds the waiting jobs in a view.
+const maxWaiting = 256
+
 // HostView is one machine.
 type HostView struct {
 	Name    string  `json:"name"`
@@ -99,6 +111,12 @@
 	for _, q := range byType {
 		v.Queues = append(v.Queues, *q)
 	}
+	for _, j := range r.led.Waiting() {
+		if len(v.Waiting) == maxWaiting {
+			break
+		}
+		v.Waiting = append(v.Waiting, WaitingView{Job: j.Ref, Class: j.Spec.Class, WaitsOn: j.WaitsOn()})
+	}
 	for _, p := range []float64{50, 90, 99} {
 		v.Start[map[float64]string{50: "p50", 90: "p90", 99: "p99"}[p]] = r.took.start.ValueAtQuantile(p)
 	}
@@ -108,5 +126,5 @@
 // observe notes how long a task waited to run.
 func (l *latencies) observe(h *ledger.Held, now time.Time) {
 	// Only a value out of range is refused; such a wait is of no use here.
-	_ = l.start.RecordValue(now.Sub(h.Job.At).Milliseconds())
+	_ = l.start.RecordValue(now.Sub(h.Job.ReadyAt).Milliseconds())
 }
--- a/internal/intake/check.go
+++ b/internal/intake/check.go
@@ -46,6 +46,7 @@
 	SnapshotS *float64  `json:"snapshot_s"`
 	FlushS    *float64  `json:"flush_s"`
 	DueS      *float64  `json:"due_s"`
+	Needs     []string  `json:"waits_on"`
 }
 
 // Parse reads a submission. The reference is returned also with an error when
@@ -139,6 +140,13 @@
 	if s.DueS != nil {
 		j.DueS = num("due_s", s.DueS, false)
 	}
+	for _, n := range s.Needs {
+		if !ValidRef(n) {
+			bad("waits_on", "wrong form")
+			break
+		}
+	}
+	j.Needs = slices.Compact(slices.Sorted(slices.Values(s.Needs)))
 	return j, errors.Join(errs...)
 }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -97,23 +97,7 @@
 		status = http.StatusUnprocessableEntity
 	}
 	if bad != nil {
-		// A job that is known is never refused, whatever this body says.
-		if ref != "" {
-			p, err := u.lookup(ctx, ref)
-			if err == nil {
-				reply(w, http.StatusOK, p)
-				return
-			}
-			if !errors.Is(err, state.ErrNotFound) {
-				busy(w, "state service")
-				return
-			}
-		}
-		if errors.Is(bad, ErrUndecided) {
-			busy(w, bad.Error())
-			return
-		}
-		reply(w, status, wire.Error{Error: bad.Error()})
+		u.refuse(ctx, w, ref, status, bad)
 		return
 	}
 	if p, ok := u.ended.get(ref); ok {
@@ -121,7 +105,14 @@
 		return
 	}
 	began := u.now()
-	fresh, err := u.accept(ctx, job)
+	var fresh bool
+	if bad, err = u.needs(ctx, &job); bad == nil && err == nil {
+		fresh, bad, err = u.accept(ctx, job)
+	}
+	if bad != nil {
+		u.refuse(ctx, w, ref, http.StatusUnprocessableEntity, bad)
+		return
+	}
 	if err != nil {
 		u.log.Debug("submit", "job", ref, "err", err)
 		busy(w, "state service")
@@ -140,16 +131,46 @@
 	reply(w, http.StatusOK, p)
 }
 
+// refuse answers a submission that cannot be taken. A job that is known is never
+// refused, whatever this body says.
+func (u *Users) refuse(ctx context.Context, w http.ResponseWriter, ref string, status int, bad error) {
+	if ref != "" {
+		p, err := u.lookup(ctx, ref)
+		if err == nil {
+			reply(w, http.StatusOK, p)
+			return
+		}
+		if !errors.Is(err, state.ErrNotFound) {
+			busy(w, "state service")
+			return
+		}
+	}
+	if errors.Is(bad, ErrUndecided) {
+		busy(w, bad.Error())
+		return
+	}
+	reply(w, status, wire.Error{Error: bad.Error()})
+}
+
+// errLarge: what must be remembered of a job does not fit a value of the state
+// service.
+var errLarge = errors.New("the job is too large to be stored")
+
 // accept stores a job unless it is there already, and reports whether it was
-// this call that did. Guards on both keys decide between concurrent calls, and
-// between an answer that was lost and its repetition.
-func (u *Users) accept(ctx context.Context, job wire.Job) (bool, error) {
-	data, err := ledger.Encode(ledger.Record{Job: job, AtMS: u.now().UnixMilli(), Chunk: ledger.ChunkTasks(u.set.Facts.State.ValueKB)})
+// this call that did, or why the job can never be stored. Guards on both keys
+// decide between concurrent calls, and between an answer that was lost and its
+// repetition.
+func (u *Users) accept(ctx context.Context, job wire.Job) (fresh bool, bad, err error) {
+	now, least := u.set.Facts.State, u.set.Facts.State.Least()
+	data, err := ledger.Encode(ledger.Record{Job: job, AtMS: u.now().UnixMilli(), Chunk: ledger.ChunkTasks(now.ValueKB, least.ValueKB)})
 	if err != nil {
-		return false, err
+		return false, nil, err
+	}
+	if float64(len(data)) > least.ValueKB*1024 {
+		return false, errLarge, nil
 	}
 	if u.down() {
-		return false, state.ErrRefused
+		return false, nil, state.ErrRefused
 	}
 	for try := 0; ; try++ {
 		_, failed, err := u.st.Commit(ctx, wire.Commit{
@@ -157,10 +178,10 @@
 			Apply:  []wire.Change{{Put: ledger.LiveKey(job.Ref), Data: data}},
 		})
 		if err == nil {
-			return len(failed) == 0, nil
+			return len(failed) == 0, nil, nil
 		}
 		if !u.again(ctx, err, try) {
-			return false, err
+			return false, nil, err
 		}
 	}
 }
@@ -286,7 +307,7 @@
 	if err != nil {
 		return wire.Phase{}, fmt.Errorf("intake: %s: %w", ref, err)
 	}
-	e := ledger.Ending{Phase: wire.Withdrawn, Tasks: rec.Job.Members, Job: rec.Job, Chunk: rec.Chunk}
+	e := ledger.WithdrawnEnding(&rec, u.now())
 	data, err := ledger.Encode(e)
 	if err != nil {
 		return wire.Phase{}, err
--- /dev/null
+++ b/internal/intake/needs.go
@@ -0,0 +1,110 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+
+	"rillflow/internal/ledger"
+	"rillflow/internal/state"
+	"rillflow/internal/wire"
+)
+
+// maxNeeds bounds the jobs that one job may wait for, so that they can be looked
+// up while its user waits. That they fit a value is checked with the record.
+const maxNeeds = 128
+
+// lookups bounds the reads that one submission has under way.
+const lookups = 8
+
+// needs looks the jobs up that a submission names. Those that are done are left
+// out of what is kept, for they will stay so. bad tells why the job can never
+// run; err, that it cannot be decided now.
+func (u *Users) needs(ctx context.Context, job *wire.Job) (bad, err error) {
+	if len(job.Needs) == 0 {
+		return nil, nil
+	}
+	if len(job.Needs) > maxNeeds {
+		return fmt.Errorf("waits_on: more than %d jobs", maxNeeds), nil
+	}
+	if slices.Contains(job.Needs, job.Ref) {
+		return errors.New("waits_on: the job itself"), nil
+	}
+	open := make([]bool, len(job.Needs))
+	bads := make([]error, len(job.Needs))
+	g, gctx := errgroup.WithContext(ctx)
+	g.SetLimit(lookups)
+	for i, ref := range job.Needs {
+		g.Go(func() (err error) {
+			open[i], bads[i], err = u.need(gctx, ref)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	if bad := errors.Join(bads...); bad != nil {
+		return bad, nil
+	}
+	kept := job.Needs[:0:0]
+	for i, ref := range job.Needs {
+		if open[i] {
+			kept = append(kept, ref)
+		}
+	}
+	job.Needs = kept
+	return nil, nil
+}
+
+// need looks one job up, and tells whether it is still to be waited for. A
+// withdrawn one is: the leader sees to what becomes of those after it.
+func (u *Users) need(ctx context.Context, ref string) (open bool, bad, err error) {
+	if p, ok := u.ended.get(ref); ok && p.Phase == wire.Done {
+		return false, nil, nil
+	}
+	if u.down() {
+		return false, nil, state.ErrRefused
+	}
+	for try := 0; ; try++ {
+		open, bad, err = u.find(ctx, ref)
+		if err == nil || !u.again(ctx, err, try) {
+			return open, bad, err
+		}
+	}
+}
+
+func (u *Users) find(ctx context.Context, ref string) (open bool, bad, err error) {
+	service := fmt.Errorf("waits_on: %s is a service", ref)
+	it, err := u.st.Get(ctx, ledger.LiveKey(ref))
+	if err == nil {
+		rec, err := ledger.DecodeRecord(it.Data)
+		if err == nil && rec.Job.Shape == wire.Standing {
+			return false, service, nil
+		}
+		return true, nil, err
+	}
+	if !errors.Is(err, state.ErrNotFound) {
+		return false, nil, err
+	}
+	// A job goes from live to ended, so what is neither was never accepted.
+	it, err = u.st.Get(ctx, ledger.EndedKey(ref))
+	if errors.Is(err, state.ErrNotFound) {
+		return false, fmt.Errorf("waits_on: %s was never accepted", ref), nil
+	}
+	if err != nil {
+		return false, nil, err
+	}
+	var e ledger.Ending
+	if err := json.Unmarshal(it.Data, &e); err != nil {
+		return false, nil, fmt.Errorf("intake: %s: %w", ref, err)
+	}
+	u.remember(ref, e)
+	if e.Job.Shape == wire.Standing {
+		return false, service, nil
+	}
+	return e.Phase != wire.Done, nil, nil
+}
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"rillflow/internal/wire"
 )
@@ -22,6 +23,7 @@
 	over   []*Held // finishes that become durable
 	remove bool
 	ends   bool // the job's end is in this batch
+	at     time.Time
 }
 
 func (c *chunk) flying() bool { return c.write != 0 }
@@ -43,12 +45,19 @@
 	return c != nil && c.dirty && c.fresh > 0 && !d.job.Withdrawn
 }
 
-// Next makes a batch of at most ops changes and bytes bytes, or nil when
-// nothing needs writing. Until Committed or Failed is called with it, no other
-// batch may be made. Claims go first, then finishes, then the tidying of jobs
-// that are over.
-func (l *Ledger) Next(ops, size int) *Batch {
+// Limits bound a batch.
+type Limits struct {
+	Ops   int // changes
+	Bytes int // of all values together
+	Value int // bytes of one value
+}
+
+// Next makes a batch, or nil when nothing needs writing. Until Committed or
+// Failed is called with it, no other batch may be made. Claims go first, then
+// finishes, then the tidying of jobs that are over.
+func (l *Ledger) Next(lim Limits, now time.Time) *Batch {
 	l.writes++
+	size := lim.Bytes
 	b := &Batch{Writer: fmt.Sprintf("%s.%d", l.writer, l.writes)}
 	slices.SortStableFunc(l.dirty, func(a, c dirtyChunk) int {
 		return l.rankOf(a) - l.rankOf(c)
@@ -64,7 +73,7 @@
 		if j.Finished {
 			need = 3
 		}
-		if len(b.Apply)+need > ops || size <= 0 {
+		if len(b.Apply)+need > lim.Ops || size <= 0 {
 			left = append(left, d)
 			continue
 		}
@@ -81,9 +90,12 @@
 				b.Apply = append(b.Apply, wire.Change{Remove: key})
 			}
 		default:
-			data, err := c.encode(b.Writer)
+			data, err := c.encode(b.Writer, lim.Value)
 			if err != nil {
-				continue // strings and numbers always encode
+				// Too large even packed, which takes names of hundreds of
+				// bytes: it waits for tasks of it to end, by which it shrinks.
+				left = append(left, d)
+				continue
 			}
 			size -= len(data)
 			b.Guards = append(b.Guards, wire.Guard{Path: key, Stamp: c.stamp})
@@ -102,7 +114,8 @@
 			b.Guards = append(b.Guards, wire.Guard{Path: LiveKey(j.Ref), Stamp: j.stamp})
 			if j.Finished {
 				p.ends = true
-				end, err := Encode(Ending{Phase: wire.Done, Tasks: j.Spec.Members})
+				p.at = now
+				end, err := Encode(Ending{Phase: wire.Done, Tasks: j.Spec.Members, AtMS: now.UnixMilli()})
 				if err != nil {
 					continue
 				}
@@ -155,6 +168,7 @@
 	Claims []*Held // to be launched
 	Over   []*Held // finishes now durable
 	Ended  []*Job  // jobs now done
+	Ready  []*Job  // jobs that now wait for no other
 }
 
 // Committed notes that a batch was applied at a generation.
@@ -194,6 +208,7 @@
 		}
 		if p.ends {
 			r.Ended = append(r.Ended, j)
+			r.Ready = append(r.Ready, l.satisfy(j.Ref, p.at)...)
 		}
 		if j.Withdrawn {
 			if c.stamp != 0 && len(c.claims) == 0 {
--- a/internal/ledger/chunk.go
+++ b/internal/ledger/chunk.go
@@ -1,9 +1,13 @@
 package ledger
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/base64"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"strconv"
 	"strings"
@@ -55,10 +59,66 @@
 	Seq    uint64   `json:"q"`
 	Done   string   `json:"d,omitempty"`
 	Claims []string `json:"c,omitempty"`
+	Packed []byte   `json:"z,omitempty"` // the claims, a line each, deflated
 	Writer string   `json:"w"`
 }
 
-func (c *chunk) encode(writer string) (json.RawMessage, error) {
+// errLarge: a chunk does not fit a value in any form.
+var errLarge = errors.New("chunk: too large")
+
+// encode gives a chunk as stored, in at most limit bytes. The plain form is
+// what every version reads. The packed one is for chunks laid out under a larger
+// limit than the service has now: it comes to be written only after that has
+// fallen, and the limits fall only when no version is left that cannot read it.
+func (c *chunk) encode(writer string, limit int) (json.RawMessage, error) {
+	data, err := c.plain(writer)
+	if err != nil || len(data) <= limit {
+		return data, err
+	}
+	if data, err = pack(data); err == nil && len(data) > limit {
+		return nil, errLarge
+	}
+	return data, err
+}
+
+func pack(plain []byte) (json.RawMessage, error) {
+	var v chunkValue
+	if err := json.Unmarshal(plain, &v); err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	z, err := flate.NewWriter(&b, flate.BestCompression)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := io.WriteString(z, strings.Join(v.Claims, "\n")); err != nil {
+		return nil, err
+	}
+	if err := z.Close(); err != nil {
+		return nil, err
+	}
+	v.Claims, v.Packed = nil, b.Bytes()
+	return json.Marshal(v)
+}
+
+// maxUnpacked bounds what a packed chunk may grow to.
+const maxUnpacked = 1 << 20
+
+func (v *chunkValue) unpack() error {
+	if len(v.Packed) == 0 {
+		return nil
+	}
+	b, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(v.Packed)), maxUnpacked))
+	if err != nil {
+		return fmt.Errorf("chunk: %w", err)
+	}
+	if len(b) > 0 {
+		v.Claims = append(v.Claims, strings.Split(string(b), "\n")...)
+	}
+	return nil
+}
+
+func (c *chunk) plain(writer string) (json.RawMessage, error) {
 	v := chunkValue{Seq: c.seq, Done: base64.RawStdEncoding.EncodeToString(c.done), Writer: writer}
 	for i, cl := range c.claims {
 		v.Claims = append(v.Claims, fmt.Sprintf("%d %s %d %d %s", i, cl.Host, cl.Tenure, cl.Try, cl.Zone))
@@ -72,6 +132,9 @@
 	if err := json.Unmarshal(data, &v); err != nil {
 		return nil, fmt.Errorf("chunk: %w", err)
 	}
+	if err := v.unpack(); err != nil {
+		return nil, err
+	}
 	done, err := base64.RawStdEncoding.DecodeString(v.Done)
 	if err != nil {
 		return nil, fmt.Errorf("chunk: %w", err)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -70,6 +70,14 @@
 	requeue []int          // tasks to be claimed again
 	done    int
 
+	// ReadyAt is since when it waits for no other job.
+	ReadyAt time.Time
+	// Lift is what it has from the jobs that need it; the caller's, and nil
+	// whenever those have changed.
+	Lift   *Lift
+	needs  map[string]bool // jobs not yet known to be done
+	doomed string          // a job it needs, if that was withdrawn
+
 	// RetryAt holds the job back after failures; the caller sets it.
 	RetryAt  time.Time
 	Fails    int             // failures in a row
@@ -93,7 +101,7 @@
 
 // WaitingTasks counts tasks without a claim.
 func (j *Job) WaitingTasks() int {
-	if j.Withdrawn || j.Finished {
+	if j.Withdrawn || j.Finished || !j.Ready() {
 		return 0
 	}
 	return j.Spec.Members - j.cursor + len(j.requeue)
@@ -114,6 +122,9 @@
 	jobs   map[string]*Job
 	hosts  map[string]*onHost
 	dirty  []dirtyChunk // in order of need
+
+	needers map[string][]*Job // by the job that they need
+	doomed  []*Job            // to be withdrawn
 }
 
 type dirtyChunk struct {
@@ -144,6 +155,8 @@
 		usage:  make(map[string]*Usage),
 		jobs:   make(map[string]*Job),
 		hosts:  make(map[string]*onHost),
+
+		needers: make(map[string][]*Job),
 	}
 	for _, t := range teams {
 		l.teams[t.Name] = t
@@ -205,8 +218,9 @@
 		Ref: ref, Spec: rec.Job, At: time.UnixMilli(rec.AtMS), stamp: stamp, size: max(1, rec.Chunk),
 		chunks: make(map[int]*chunk), claims: make(map[int]*Held), zones: make(map[string]int),
 	}
-	j.WaitingSince = j.At
+	j.WaitingSince, j.ReadyAt = j.At, j.At
 	l.jobs[ref] = j
+	l.await(j)
 	return j
 }
 
@@ -493,6 +507,7 @@
 	}
 	j.Withdrawn = true
 	j.Finished = false
+	l.forsake(j)
 	for _, h := range j.claims {
 		// A finish that was still to be written is proof that the task
 		// is gone; the finish itself no longer matters.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -16,6 +16,8 @@
 
 var now = time.Unix(5000, 0)
 
+func limits(ops int) Limits { return Limits{Ops: ops, Bytes: 40 << 10, Value: 16 << 10} }
+
 func teams() []settings.Team {
 	return []settings.Team{{Name: "a", CPUs: 8, CPUsMax: 16}, {Name: "b", CPUs: 100, CPUsMax: 100}}
 }
@@ -91,7 +93,7 @@
 	l := New("w", teams())
 	j := l.Add("req-1", job("b", wire.Batch, 1, 1), 7)
 	h, _ := l.Claim(j, "h", 1, "x")
-	b := l.Next(16, 1<<16)
+	b := l.Next(limits(16), now)
 	if r := l.Committed(b, 8); len(r.Claims) != 1 || !h.Committed {
 		t.Fatalf("claims %v", r.Claims)
 	}
@@ -99,7 +101,7 @@
 	if l.OnHost("h")[h.Task()] == nil {
 		t.Fatal("the claim went before its finish was durable")
 	}
-	b = l.Next(16, 1<<16)
+	b = l.Next(limits(16), now)
 	var keys []string
 	for _, c := range b.Apply {
 		keys = append(keys, c.Put+c.Remove)
@@ -123,7 +125,7 @@
 	if _, err := l.Claim(j, "h", 1, "x"); err != nil {
 		t.Fatal(err)
 	}
-	b := l.Next(16, 1<<16)
+	b := l.Next(limits(16), now)
 	guarded := false
 	for _, g := range b.Guards {
 		guarded = guarded || g.Path == "j/req-1" && g.Stamp == 7
@@ -146,14 +148,14 @@
 	l := New("w", teams())
 	j := l.Add("req-1", job("b", wire.Standing, 1, 1), 7)
 	h, _ := l.Claim(j, "h", 1, "x")
-	l.Committed(l.Next(16, 1<<16), 8)
+	l.Committed(l.Next(limits(16), now), 8)
 	h.Sent = true
 	l.Withdraw("req-1")
 	if l.Usage("b").CPUs != 1 {
 		t.Fatal("a task that may run no longer counts")
 	}
 	l.Free(h, now)
-	b := l.Next(16, 1<<16)
+	b := l.Next(limits(16), now)
 	if b == nil || len(b.Apply) != 1 || b.Apply[0].Remove != "c/req-1/0" {
 		t.Fatalf("batch %+v", b)
 	}
@@ -169,13 +171,13 @@
 	l := New("w", teams())
 	j := l.Add("req-1", job("b", wire.Batch, 1, 1), 7)
 	h, _ := l.Claim(j, "h", 1, "x")
-	l.Committed(l.Next(16, 1<<16), 8)
+	l.Committed(l.Next(limits(16), now), 8)
 	l.Finish(h)
-	b := l.Next(16, 1<<16)
+	b := l.Next(limits(16), now)
 	l.Failed(b)
 	l.Withdraw("req-1")
 	for range 3 {
-		if b := l.Next(16, 1<<16); b != nil {
+		if b := l.Next(limits(16), now); b != nil {
 			l.Committed(b, 10)
 		}
 	}
@@ -213,7 +215,7 @@
 		l.Claim(j, "host-with-a-name", 1, "zone-with-a-name")
 	}
 	seen := 0
-	for b := l.Next(12, 8<<10); b != nil; b = l.Next(12, 8<<10) {
+	for b := l.Next(Limits{Ops: 12, Bytes: 8 << 10, Value: 16 << 10}, now); b != nil; b = l.Next(Limits{Ops: 12, Bytes: 8 << 10, Value: 16 << 10}, now) {
 		if len(b.Apply) > 12 {
 			t.Fatalf("%d changes in a batch", len(b.Apply))
 		}
@@ -265,7 +267,7 @@
 					l.Free(h, now)
 				}
 			}
-			b := l.Next(4, 1<<16)
+			b := l.Next(limits(4), now)
 			if b == nil {
 				continue
 			}
@@ -314,7 +316,7 @@
 		if err != nil {
 			return
 		}
-		out, err := c.encode("w")
+		out, err := c.encode("w", 1<<20)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -330,13 +332,13 @@
 func TestLargestJob(t *testing.T) {
 	const n = 100_000
 	ts := []settings.Team{{Name: "a", CPUsMax: 500}}
-	rec := Record{Job: wire.Job{Owner: "a", Shape: wire.Batch, Members: n, Cores: 1}, Chunk: ChunkTasks(16)}
+	rec := Record{Job: wire.Job{Owner: "a", Shape: wire.Batch, Members: n, Cores: 1}, Chunk: ChunkTasks(16, 16)}
 	s := store{}
 	l := New("w", ts)
 	j := l.Add("req-1", rec, 1)
 	gen := uint64(1)
 	flush := func() {
-		for b := l.Next(16, 40<<10); b != nil; b = l.Next(16, 40<<10) {
+		for b := l.Next(limits(16), now); b != nil; b = l.Next(limits(16), now) {
 			gen++
 			for _, c := range b.Apply {
 				if len(c.Data) > 16<<10/4 {
@@ -402,7 +404,7 @@
 		case k < 8 && len(held) > 0:
 			l.Finish(held[rnd.IntN(len(held))])
 		case k < 9:
-			if b := l.Next(16, 40<<10); b != nil {
+			if b := l.Next(limits(16), now); b != nil {
 				if rnd.IntN(4) > 0 {
 					l.Committed(b, uint64(10000+i))
 				} else {
@@ -451,7 +453,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.Committed(l.Next(16, 40<<10), 2)
+	l.Committed(l.Next(limits(16), now), 2)
 	l.Finish(h)
 	if l.Urgent() {
 		t.Error("a finish alone is urgent")
@@ -463,7 +465,7 @@
 	if !l.Urgent() {
 		t.Error("a claim is not urgent")
 	}
-	if b := l.Next(1, 40<<10); len(b.Refs()) != 1 || b.Refs()[0] != "req-2" {
+	if b := l.Next(limits(1), now); len(b.Refs()) != 1 || b.Refs()[0] != "req-2" {
 		t.Errorf("first %v, want the claim", b.Refs())
 	}
 }
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+	"time"
 
 	"rillflow/internal/wire"
 )
@@ -47,6 +48,17 @@
 	Tasks int      `json:"tasks"`
 	Job   wire.Job `json:"job,omitzero"` // of a withdrawn one: its claims still count
 	Chunk int      `json:"chunk,omitempty"`
+	AtMS  int64    `json:"at,omitempty"` // time of day of the end
+}
+
+// WithdrawnEnding is the ending of a withdrawn job. Of the job it keeps what
+// its claims count by and no more, so that it fits a value however large the
+// submission was.
+func WithdrawnEnding(rec *Record, now time.Time) Ending {
+	j := &rec.Job
+	return Ending{Phase: wire.Withdrawn, Tasks: j.Members, Chunk: rec.Chunk, AtMS: now.UnixMilli(), Job: wire.Job{
+		Ref: j.Ref, Owner: j.Owner, Shape: j.Shape, Members: j.Members, Cores: j.Cores, Accel: j.Accel, RAM: j.RAM,
+	}}
 }
 
 // DecodeRecord reads a stored job.
@@ -59,7 +71,15 @@
 // Encode gives a record or an ending as stored.
 func Encode(v any) (json.RawMessage, error) { return json.Marshal(v) }
 
-// ChunkTasks is how many tasks share a key. A claim takes up to 64 bytes; the
-// rest of the value is left free, since the limit was seen to shrink to a
-// quarter while the service ran, and a value over it is refused for good.
-func ChunkTasks(valueKB float64) int { return max(8, int(valueKB*1024/256)) }
+// ChunkTasks is how many tasks share a key, given the limit on a value and the
+// least that it may fall to. A claim takes some 32 bytes, and with long names up
+// to 64. A value over the limit is refused, so three quarters of it are left free
+// where no fall is announced; where one is, nearly all of the lesser value is
+// counted on, and chunks of long names are packed.
+func ChunkTasks(valueKB, leastKB float64) int {
+	n := valueKB * 1024 / 256
+	if leastKB < valueKB {
+		n = min(n, leastKB*1024*15/16/48)
+	}
+	return max(8, int(n))
+}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -32,6 +32,9 @@
 	kindCounts
 	kindAnswer // to any of them
 	kindRefuse // the request could not be served
+
+	// Versions before 0.2 refuse what follows, by which they are known.
+	kindVersion // the program's version, and the peer's in answer
 )
 
 // ErrFormat says that a frame breaks the format.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -26,6 +26,7 @@
 	Pick(o placement.Offer) []placement.Picked
 	User(ctx context.Context, r UserRequest) UserAnswer
 	Counts(ref string) Counts
+	Version() string
 }
 
 // Errors of a request to a peer.
@@ -78,8 +79,12 @@
 // Status is how a peer stood at its last ping.
 type Status struct {
 	Ping
-	Live  bool      // answered lately
-	Since time.Time // live without a break since
+	// Version is the peer's program version, or "" if it is too old to tell or
+	// has not been asked yet. It is settled anew with each connection, for a
+	// process may come back as another version.
+	Version string
+	Live    bool      // answered lately
+	Since   time.Time // live without a break since
 }
 
 // Peers tells how all peers stand.
@@ -208,6 +213,9 @@
 		c := m.h.Counts(string(f.body))
 		return c.encode(), nil
 	}
+	if f.kind == kindVersion {
+		return []byte(m.h.Version()), nil
+	}
 	return nil, fmt.Errorf("%w: kind %d", ErrFormat, f.kind)
 }
 
@@ -222,6 +230,7 @@
 	next    uint64
 	pending map[uint64]chan frame
 	last    Ping
+	version string
 	at      time.Time // of the last answered ping
 	since   time.Time
 
@@ -231,7 +240,7 @@
 func (l *Link) status() Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Status{Ping: l.last, Live: !l.at.IsZero() && time.Since(l.at) < 3*l.every, Since: l.since}
+	return Status{Ping: l.last, Version: l.version, Live: !l.at.IsZero() && time.Since(l.at) < 3*l.every, Since: l.since}
 }
 
 // run dials, pings, and dials again.
@@ -264,8 +273,24 @@
 	return ctx.Err()
 }
 
+// maxVersion bounds a version's length.
+const maxVersion = 64
+
+// greet asks for the peer's version, and reports whether that is settled. An old
+// peer refuses the question.
+func (l *Link) greet(ctx context.Context, h Handler) bool {
+	gctx, cancel := context.WithTimeout(ctx, 3*l.every)
+	defer cancel()
+	b, err := l.ask(gctx, kindVersion, []byte(h.Version()))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.version = string(b[:min(len(b), maxVersion)])
+	return err == nil || errors.Is(err, ErrRefused)
+}
+
 // ping asks the peer how it stands until an answer fails to come.
 func (l *Link) ping(ctx context.Context, h Handler) {
+	greeted := false
 	for ctx.Err() == nil {
 		own := h.Ping()
 		pctx, cancel := context.WithTimeout(ctx, 3*l.every)
@@ -286,6 +311,9 @@
 		l.last, l.at = p, now
 		l.mu.Unlock()
 		h.Pinged(p)
+		if !greeted {
+			greeted = l.greet(ctx, h)
+		}
 		t := time.NewTimer(l.every)
 		select {
 		case <-ctx.Done():
@@ -316,7 +344,7 @@
 func (l *Link) drop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conn = nil
+	l.conn, l.version = nil, ""
 	for id, ch := range l.pending {
 		delete(l.pending, id)
 		close(ch)
--- a/internal/serve/front.go
+++ b/internal/serve/front.go
@@ -125,6 +125,8 @@
 	return peer.Counts{Known: ok, Done: c.Done, Running: c.Running}
 }
 
+func (d *daemon) Version() string { return Version }
+
 func (d *daemon) User(ctx context.Context, r peer.UserRequest) peer.UserAnswer {
 	rec := &recorder{header: make(http.Header), status: http.StatusOK}
 	req, err := http.NewRequestWithContext(ctx, r.Method, r.Path, newBody(r.Body))
@@ -138,6 +140,7 @@
 // Status is what the operator's status page tells.
 type Status struct {
 	Node     string                 `json:"node"`
+	Version  string                 `json:"version"`
 	Map      lead.Map               `json:"map"`
 	UpS      float64                `json:"up_s"`
 	StateS   float64                `json:"state_silent_s"`
@@ -149,7 +152,7 @@
 
 func (d *daemon) status(w http.ResponseWriter, _ *http.Request) {
 	reply(w, http.StatusOK, Status{
-		Node: d.set.Node, Map: d.el.Known(), UpS: time.Since(d.began).Seconds(),
+		Node: d.set.Node, Version: Version, Map: d.el.Known(), UpS: time.Since(d.began).Seconds(),
 		StateS: d.st.SinceOK().Seconds(), Requests: d.st.Requests(), Peers: d.mesh.Peers(),
 		Rates: d.part.Rows(), Leading: d.control.View(),
 	})
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -23,6 +23,9 @@
 	"rillflow/internal/state"
 )
 
+// Version is the program's version.
+const Version = "0.2.0"
+
 // daemon is a running controller.
 type daemon struct {
 	set     *settings.Settings
@@ -56,7 +59,8 @@
 	// Any node may lead and then needs most of the budget; the rest is
 	// shared. Spent in full by all, this stays at what the service allows.
 	d.st = state.New(state.Options{
-		Addr: set.Services.State, RPS: facts.State.RPS * 0.8 * 2 / (nodes + 1), WriteRPS: facts.State.WriteRPS * 0.8,
+		Addr: set.Services.State, RPS: facts.State.RPS * 0.8 * 2 / (nodes + 1),
+		Limits: limits(facts.State), Least: limits(facts.State.Least()),
 		Timeout: set.Report() / 2, Dial: nw.Dial,
 	})
 	cloud := fleet.NewCloud(set.Services.Cloud, facts.Cloud.RPS*0.8, set.Report(), nw.Dial)
@@ -100,6 +104,12 @@
 	return g.Wait()
 }
 
+// limits is what a controller may use of the state service at a time: nearly
+// all, for any may lead.
+func limits(s settings.State) state.Limits {
+	return state.Limits{WriteRPS: s.WriteRPS * 0.8, Value: int(s.ValueKB * 1024)}
+}
+
 // probe sees to it that this node knows whether the state service answers it.
 func (d *daemon) probe(ctx context.Context) error {
 	every := d.set.Report() / 4
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -83,6 +83,38 @@
 	WriteRPS float64 `toml:"write_rps" validate:"gt=0"`
 	ValueKB  float64 `toml:"value_kb" validate:"gte=1"`
 	TxnOps   int     `toml:"txn_ops" validate:"gte=4"`
+	// Next are limits that the service will have from some moment on, without
+	// notice; nil if none are announced. A figure left out stays as it is.
+	Next *NextState `toml:"next"`
+}
+
+// NextState are announced limits.
+type NextState struct {
+	RPS      float64 `toml:"rps" validate:"omitempty,gt=0"`
+	WriteRPS float64 `toml:"write_rps" validate:"omitempty,gt=0"`
+	ValueKB  float64 `toml:"value_kb" validate:"omitempty,gte=1"`
+	TxnOps   int     `toml:"txn_ops" validate:"omitempty,gte=4"`
+}
+
+// Least are the limits that hold whether or not the announced ones are in
+// force yet.
+func (s State) Least() State {
+	out := s
+	out.Next = nil
+	if n := s.Next; n != nil {
+		lower(&out.RPS, n.RPS)
+		lower(&out.WriteRPS, n.WriteRPS)
+		lower(&out.ValueKB, n.ValueKB)
+		lower(&out.TxnOps, n.TxnOps)
+	}
+	return out
+}
+
+// lower takes the smaller of two limits; 0 is none.
+func lower[T int | float64](limit *T, to T) {
+	if to > 0 {
+		*limit = min(*limit, to)
+	}
 }
 
 // Cloud are the limits of the cloud.
@@ -172,7 +204,8 @@
 
 // Frugal tells whether to rent for the work on hand rather than ahead of it:
 // as the operator says, or else where the users' aims price what is rented, or
-// give work deadlines, so that to be done sooner is worth nothing to them.
+// give work deadlines, so that to be done sooner is worth nothing to them. Where
+// they also want some class finished soon after its submission, it is not.
 func (s *Settings) Frugal() bool {
 	switch s.Operator.Fleet.Thrift {
 	case "always":
@@ -180,12 +213,13 @@
 	case "never":
 		return false
 	}
+	var priced, due, soon bool
 	for _, o := range s.Facts.Objectives {
-		if o.Kind == "price" || o.Kind == "useful" || o.Kind == "deadline" {
-			return true
-		}
+		priced = priced || o.Kind == "price" || o.Kind == "useful"
+		due = due || o.Kind == "deadline"
+		soon = soon || o.Kind == "finished"
 	}
-	return false
+	return priced || due && !soon
 }
 
 // Seconds converts an amount of seconds.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -36,6 +36,9 @@
 	// ErrBusy: the budget was used up (429), a refusal that proves the
 	// service is up.
 	ErrBusy = fmt.Errorf("busy: %w", ErrRefused)
+	// ErrTooLarge: a value or transaction is over the service's limits. It is
+	// not to be sent again as it was.
+	ErrTooLarge = fmt.Errorf("too large: %w", ErrRefused)
 )
 
 // Client talks to the state service.
@@ -45,18 +48,30 @@
 	reads   *rate.Limiter
 	writes  *rate.Limiter
 	timeout time.Duration
+	value   int // bytes of a value
+	least   Limits
+	fallen  atomic.Bool
+	busy    atomic.Int64 // when a write was last refused for its rate, as lastOK
 	lastOK  atomic.Int64 // steady nanoseconds since start
 	start   time.Time
 	asked   atomic.Int64 // requests sent, for the status page
 }
 
-// Options are a client's budget. Rates are this process's share.
-type Options struct {
-	Addr     string
-	RPS      float64
+// Limits are limits of the service. Rates are this process's share.
+type Limits struct {
 	WriteRPS float64
-	Timeout  time.Duration
-	Dial     func(ctx context.Context, network, addr string) (net.Conn, error)
+	Value    int // bytes of a value
+}
+
+// Options are a client's budget. Least are the limits that the service may fall
+// to without notice.
+type Options struct {
+	Addr string
+	RPS  float64
+	Limits
+	Least   Limits
+	Timeout time.Duration
+	Dial    func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // New makes a client.
@@ -73,6 +88,8 @@
 		reads:   rate.NewLimiter(rate.Limit(o.RPS), max(4, int(o.RPS/2))),
 		writes:  rate.NewLimiter(rate.Limit(o.WriteRPS), max(4, int(o.WriteRPS))),
 		timeout: o.Timeout,
+		value:   o.Value,
+		least:   o.Least,
 		start:   time.Now(),
 	}
 }
@@ -82,6 +99,33 @@
 	return time.Since(c.start) - time.Duration(c.lastOK.Load())
 }
 
+// Value is how many bytes a value may have, as far as is known.
+func (c *Client) Value() int {
+	if c.fallen.Load() {
+		return min(c.value, c.least.Value)
+	}
+	return c.value
+}
+
+// fall goes over to the announced limits for good: a refusal has shown that
+// they are in force.
+func (c *Client) fall() {
+	if c.least.Value == 0 || c.fallen.Swap(true) {
+		return
+	}
+	c.writes.SetLimit(min(c.writes.Limit(), rate.Limit(c.least.WriteRPS)))
+	c.writes.SetBurst(min(c.writes.Burst(), max(4, int(c.least.WriteRPS))))
+}
+
+// crowded notes that a write was refused for its rate. One may be bad luck
+// among several controllers; a second soon after shows lower limits.
+func (c *Client) crowded() {
+	now := int64(time.Since(c.start))
+	if last := c.busy.Swap(now); last != 0 && now-last < int64(4*c.timeout) {
+		c.fall()
+	}
+}
+
 // Probe asks for nothing in particular, to see whether the service answers.
 func (c *Client) Probe(ctx context.Context) {
 	c.Get(ctx, "probe")
@@ -164,10 +208,17 @@
 	case http.StatusGone:
 		return ErrTooOld
 	case http.StatusTooManyRequests:
+		if writes > 0 {
+			c.crowded()
+		}
 		return ErrBusy
 	case http.StatusServiceUnavailable:
 		return ErrRefused
 	case http.StatusBadRequest:
+		if writes > 0 && !bytes.Contains(data, []byte("no such lease")) {
+			c.fall()
+			return fmt.Errorf("%w: 400 %s", ErrTooLarge, data)
+		}
 		return fmt.Errorf("%w: 400 %s", ErrRefused, data)
 	}
 	return fmt.Errorf("%w: status %d", ErrUnknown, res.StatusCode)
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -16,7 +16,7 @@
 
 func client(addr string) *Client {
 	var d net.Dialer
-	return New(Options{Addr: addr, RPS: 1000, WriteRPS: 1000, Timeout: 5 * time.Second, Dial: d.DialContext})
+	return New(Options{Addr: addr, RPS: 1000, Limits: Limits{WriteRPS: 1000, Value: 1 << 10}, Timeout: 5 * time.Second, Dial: d.DialContext})
 }
 
 // What was surely not executed must be told from what may have been: only the
@@ -84,7 +84,7 @@
 // need not wait.
 func TestWriteRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New(Options{Addr: "state:1", RPS: 100, WriteRPS: 8, Timeout: time.Second})
+		c := New(Options{Addr: "state:1", RPS: 100, Limits: Limits{WriteRPS: 8}, Timeout: time.Second})
 		n, err := c.WriteRoom(t.Context(), 3)
 		if n != 6 || err != nil {
 			t.Fatalf("room for %d (%v), want all but a quarter", n, err)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -26,6 +26,7 @@
 	SnapshotS float64  `json:"snapshot_s,omitempty"`
 	FlushS    float64  `json:"flush_s,omitempty"`
 	DueS      float64  `json:"due_s,omitempty"`
+	Needs     []string `json:"waits_on,omitempty"` // jobs that must be done before
 }
 
 // Phase is the answer to a submission, a poll or a withdrawal.
