--- /dev/null
+++ b/internal/peer/compat_test.go
@@ -0,0 +1,148 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rillflow/internal/agent"
+	"rillflow/internal/placement"
+	"rillflow/internal/settings"
+	"rillflow/internal/wire"
+)
+
+// testdata/production holds frames as version 0.1 sends them. Its decoder takes
+// no other version and no byte more, so what is sent to it stays as it was, byte
+// for byte.
+func TestFramesOfProduction(t *testing.T) {
+	one := offer
+	q := one.Queues[0]
+	q.Jobs = append([]placement.Waiting(nil), q.Jobs...)
+	q.Jobs[0].Zones = map[string]int{"a": 1} // a map has no order to compare
+	one.Queues = []placement.Queue{q}
+	ping := Ping{Node: "n", Epoch: 9, Leader: "m", Parts: []string{"m", "n"}, StateAge: time.Minute}
+	answer := BeatAnswer{
+		OK: true, Orders: wire.Orders{Epoch: 4, Orders: []wire.Order{{Verb: "stop", Member: "req-1/0", Try: 2, Wind: 1.5}}},
+		Learned: []agent.Finish{{Type: "t", Flavor: "big", Run: time.Hour}},
+	}
+	picks := []placement.Picked{{Host: "i-1", Ref: "req-1", Tier: 2, Cost: -0.5, Weight: 8}}
+	user := UserRequest{Method: "POST", Path: "/v1/jobs", Body: []byte("{}")}
+	useranswer := UserAnswer{Status: 503, RetryAfter: "1", Body: []byte("x")}
+	counts := Counts{Known: true, Done: 3, Running: 4}
+	for _, tc := range []struct {
+		name   string
+		kind   kind
+		body   []byte
+		in     any
+		decode func([]byte) (any, error)
+	}{
+		{"ping", kindPing, ping.encode(), ping, func(b []byte) (any, error) { return decodePing(b) }},
+		{"beat", kindBeat, encodeReport(report), report, func(b []byte) (any, error) { return decodeReport(b) }},
+		{"beat-answer", kindAnswer, answer.encode(), answer, func(b []byte) (any, error) { return decodeBeatAnswer(b) }},
+		{"offer", kindOffer, encodeOffer(&one), one, func(b []byte) (any, error) { return decodeOffer(b) }},
+		{"picks", kindAnswer, encodePicks(picks), picks, func(b []byte) (any, error) { return decodePicks(b) }},
+		{"user", kindUser, user.encode(), user, func(b []byte) (any, error) { return decodeUserRequest(b) }},
+		{"user-answer", kindAnswer, useranswer.encode(), useranswer, func(b []byte) (any, error) { return decodeUserAnswer(b) }},
+		{"counts", kindCounts, []byte("req-1"), "req-1", func(b []byte) (any, error) { return string(b), nil }},
+		{"counts-answer", kindAnswer, counts.encode(), counts, func(b []byte) (any, error) { return decodeCounts(b) }},
+		{"refuse", kindRefuse, nil, "", func(b []byte) (any, error) { return string(b), nil }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			want, err := os.ReadFile(filepath.Join("testdata", "production", tc.name+".frame"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var out bytes.Buffer
+			if err := writeFrame(&out, frame{kind: tc.kind, id: 77, body: tc.body}); err != nil || !bytes.Equal(out.Bytes(), want) {
+				t.Errorf("sent as %x, %v; version 0.1 takes %x", out.Bytes(), err, want)
+			}
+			f, err := readFrame(bytes.NewReader(want))
+			if err != nil || f.kind != tc.kind || f.id != 77 {
+				t.Fatalf("read as %+v, %v", f, err)
+			}
+			if got, err := tc.decode(f.body); err != nil || !reflect.DeepEqual(got, tc.in) {
+				t.Errorf("read as %+v, %v", got, err)
+			}
+		})
+	}
+}
+
+// node is a handler that only tells how it stands.
+type node struct{ version string }
+
+func (n *node) Ping() Ping                                          { return Ping{Node: "n"} }
+func (n *node) Pinged(Ping)                                         {}
+func (n *node) Beat(context.Context, *wire.Report) BeatAnswer       { return BeatAnswer{} }
+func (n *node) Pick(placement.Offer) []placement.Picked             { return nil }
+func (n *node) User(context.Context, UserRequest) UserAnswer        { return UserAnswer{} }
+func (n *node) Counts(string) Counts                                { return Counts{} }
+func (n *node) Version() string                                     { return n.version }
+func dialNothing(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
+func quiet() *slog.Logger                                           { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+func old(m *Mesh, ctx context.Context, f frame) (body []byte, ok bool) { // as version 0.1 answers
+	if f.kind >= kindVersion {
+		return nil, false
+	}
+	body, err := m.answer(ctx, f)
+	return body, err == nil
+}
+
+// A peer's version is known from its answer, an old one by its refusal, and a
+// peer that comes back as the other is known as that: connection by connection.
+func TestVersionOfPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		far := NewMesh(nil, &node{"0.2.0"}, time.Second, 4, dialNothing, quiet())
+		var isOld bool
+		var conn net.Conn
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			near, there := net.Pipe()
+			conn = there
+			if !isOld {
+				go far.serve(ctx, there)
+				return near, nil
+			}
+			go func() {
+				defer there.Close()
+				for {
+					f, err := readFrame(there)
+					if err != nil {
+						return
+					}
+					out := frame{kind: kindRefuse, id: f.id}
+					if body, ok := old(far, ctx, f); ok {
+						out = frame{kind: kindAnswer, id: f.id, body: body}
+					}
+					if writeFrame(there, out) != nil {
+						return
+					}
+				}
+			}()
+			return near, nil
+		}
+		m := NewMesh([]settings.Member{{Node: "n", Endpoint: "n:1"}}, &node{"0.2.0"}, time.Second, 4, dial, quiet())
+		done := make(chan struct{})
+		go func() { defer close(done); m.links["n"].run(ctx, m.h) }()
+		for i, want := range []string{"0.2.0", "", "0.2.0"} {
+			time.Sleep(10 * time.Second)
+			s := m.Peers()["n"]
+			if !s.Live || s.Version != want {
+				t.Errorf("connection %d: live %v, version %q, want %q", i, s.Live, s.Version, want)
+			}
+			isOld = !isOld
+			conn.Close()
+		}
+		cancel()
+		<-done
+		conn.Close()
+	})
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -45,6 +45,10 @@
 		{"lease below the report", "lease_s = 30.0", "lease_s = 1.0", "LeaseS"},
 		{"limit below the guarantee", "cpus_max = 2.0", "cpus_max = 0.5", "CPUsMax"},
 		{"negative budget", "write_rps = 5.0", "write_rps = -5.0", "WriteRPS"},
+		{"announced limits", "txn_ops = 16\n", "txn_ops = 16\n[facts.state.next]\nvalue_kb = 2.0\n", ""},
+		{"an announced value of nothing", "txn_ops = 16\n", "txn_ops = 16\n[facts.state.next]\nvalue_kb = 0.1\n", "ValueKB"},
+		{"an announced transaction that holds no end of a job", "txn_ops = 16\n", "txn_ops = 16\n[facts.state.next]\ntxn_ops = 2\n", "TxnOps"},
+		{"a negative announced rate", "txn_ops = 16\n", "txn_ops = 16\n[facts.state.next]\nwrite_rps = -1.0\n", "WriteRPS"},
 		{"a member named as oneself", `node_name = "n1"`, `node_name = "n0"`, "used twice"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -84,3 +88,54 @@
 		t.Errorf("got %v, want one naming %q", err, want)
 	}
 }
+
+func TestLeast(t *testing.T) {
+	now := State{RPS: 100, WriteRPS: 20, ValueKB: 16, TxnOps: 16}
+	for _, tc := range []struct {
+		name string
+		next *NextState
+		want State
+	}{
+		{"none announced", nil, now},
+		{"all", &NextState{RPS: 50, WriteRPS: 10, ValueKB: 2, TxnOps: 4}, State{RPS: 50, WriteRPS: 10, ValueKB: 2, TxnOps: 4}},
+		{"some", &NextState{ValueKB: 2}, State{RPS: 100, WriteRPS: 20, ValueKB: 2, TxnOps: 16}},
+		{"higher ones are not counted on", &NextState{RPS: 500, TxnOps: 32}, now},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := now
+			s.Next = tc.next
+			if got := s.Least(); got != tc.want {
+				t.Errorf("got %+v, want %+v", got, tc.want)
+			}
+		})
+	}
+}
+
+// A deadline for one class does not make a fleet wait for work that others want
+// done soon.
+func TestFrugal(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		kinds  []string
+		thrift string
+		want   bool
+	}{
+		{"nothing named", nil, "auto", false},
+		{"deadlines only", []string{"deadline", "wait"}, "auto", true},
+		{"a price", []string{"price", "finished"}, "auto", true},
+		{"deadlines, and a class wanted soon", []string{"deadline", "finished"}, "auto", false},
+		{"the operator says so", []string{"finished"}, "always", true},
+		{"the operator says not", []string{"price"}, "never", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var s Settings
+			s.Operator.Fleet.Thrift = tc.thrift
+			for _, k := range tc.kinds {
+				s.Facts.Objectives = append(s.Facts.Objectives, Objective{Kind: k})
+			}
+			if got := s.Frugal(); got != tc.want {
+				t.Errorf("frugal: %v", got)
+			}
+		})
+	}
+}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -110,3 +110,51 @@
 		}
 	})
 }
+
+// A refusal for size, or two for the rate soon after one another, show that the
+// announced limits are in force; they are kept to from then on.
+func TestFall(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		answers []int
+		body    string
+		want    error
+		value   int
+	}{
+		{"too large", []int{400}, "too large", ErrTooLarge, 2048},
+		{"a grant that ended says nothing of limits", []int{400}, `{"error":"no such lease"}`, ErrRefused, 16384},
+		{"one refusal for the rate", []int{429}, "", ErrBusy, 16384},
+		{"two", []int{429, 200, 429}, "{}", ErrBusy, 2048},
+		{"an outage", []int{503, 503, 503}, "", ErrRefused, 16384},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			n := 0
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(tc.answers[n])
+				w.Write([]byte(tc.body))
+				n++
+			}))
+			defer srv.Close()
+			var d net.Dialer
+			c := New(Options{Addr: strings.TrimPrefix(srv.URL, "http://"), RPS: 1000, Timeout: time.Minute, Dial: d.DialContext,
+				Limits: Limits{WriteRPS: 1000, Value: 16384}, Least: Limits{WriteRPS: 500, Value: 2048}})
+			var err error
+			for range tc.answers {
+				_, _, err = c.Commit(context.Background(), wire.Commit{Apply: []wire.Change{{Remove: "k"}}})
+			}
+			if !errors.Is(err, tc.want) || errors.Is(err, ErrTooLarge) != (tc.want == ErrTooLarge) {
+				t.Errorf("got %v, want %v", err, tc.want)
+			}
+			if c.Value() != tc.value {
+				t.Errorf("values of %d bytes, want %d", c.Value(), tc.value)
+			}
+			want := 1000.0
+			if tc.value == 2048 {
+				want = 500
+			}
+			if got := float64(c.writes.Limit()); got != want {
+				t.Errorf("%v changes a second, want %v", got, want)
+			}
+		})
+	}
+}
