--- a/internal/intake/check_test.go
+++ b/internal/intake/check_test.go
@@ -34,6 +34,12 @@
 		{"unknown shape", `"batch"`, `"heap"`, "req-000412", "shape: unknown"},
 		{"unknown rank", `"urgent"`, `"soon"`, "req-000412", "rank: unknown"},
 		{"no flavor allowed", `["g8"]`, `[]`, "req-000412", "flavors: invalid"},
+		{"waits for others", `"ref"`, `"waits_on":["req-2","req-1","req-2"],"ref"`, "req-000412", ""},
+		{"waits for none", `"ref"`, `"waits_on":[],"ref"`, "req-000412", ""},
+		{"waits for null", `"ref"`, `"waits_on":null,"ref"`, "req-000412", ""},
+		{"waits for no list", `"ref"`, `"waits_on":"req-1","ref"`, "req-000412", "malformed"},
+		{"waits for a number", `"ref"`, `"waits_on":[1],"ref"`, "req-000412", "malformed"},
+		{"waits for what is no reference", `"ref"`, `"waits_on":["job-1"],"ref"`, "req-000412", "waits_on"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			_, ref, err := Parse([]byte(strings.Replace(goodJob, tc.old, tc.new, 1)))
--- /dev/null
+++ b/internal/intake/needs_test.go
@@ -0,0 +1,206 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"rillflow/internal/fleet"
+	"rillflow/internal/ledger"
+	"rillflow/internal/settings"
+	"rillflow/internal/state"
+	"rillflow/internal/wire"
+)
+
+// keys is a state service of a few keys. It is up until down.
+type keys struct {
+	mu   sync.Mutex
+	m    map[string]string
+	down bool
+	gets int
+}
+
+func (k *keys) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.down {
+		w.WriteHeader(503)
+		return
+	}
+	if key, ok := strings.CutPrefix(r.URL.Path, "/store/"); ok {
+		k.gets++
+		if v, ok := k.m[key]; ok {
+			fmt.Fprintf(w, `{"path":%q,"stamp":1,"data":%s}`, key, v)
+			return
+		}
+		w.WriteHeader(404)
+		return
+	}
+	var t wire.Commit
+	json.NewDecoder(r.Body).Decode(&t)
+	for _, g := range t.Guards {
+		if _, there := k.m[g.Path]; there != (g.Stamp > 0) {
+			w.WriteHeader(409)
+			fmt.Fprintf(w, `{"failed":[%q]}`, g.Path)
+			return
+		}
+	}
+	for _, c := range t.Apply {
+		if c.Put != "" {
+			k.m[c.Put] = string(c.Data)
+		} else {
+			delete(k.m, c.Remove)
+		}
+	}
+	fmt.Fprint(w, `{"generation":2}`)
+}
+
+func users(t *testing.T, k *keys) (*Users, *http.ServeMux) {
+	srv := httptest.NewServer(k)
+	t.Cleanup(srv.Close)
+	set := &settings.Settings{Facts: settings.Facts{
+		Teams: []settings.Team{{Name: "vision", CPUsMax: 64, GPUsMax: 4}},
+		State: settings.State{RPS: 1e4, WriteRPS: 1e4, ValueKB: 16, TxnOps: 16, Next: &settings.NextState{ValueKB: 2, TxnOps: 4}},
+	}}
+	var d net.Dialer
+	st := state.New(state.Options{Addr: strings.TrimPrefix(srv.URL, "http://"), RPS: 1e4, Limits: state.Limits{WriteRPS: 1e4}, Timeout: 5 * time.Second, Dial: d.DialContext})
+	types := fleet.NewCatalogue(nil, time.Minute, nil)
+	types.Set([]wire.MachineType{{Label: "g8", Cores: 96, Accel: 8, RAM: 768, Locales: []string{"a"}}})
+	u := New(set, st, types, func(context.Context, string) (int, int, bool) { return 0, 0, false }, func() bool { return false }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	mux := http.NewServeMux()
+	u.Routes(mux)
+	return u, mux
+}
+
+func submit(mux *http.ServeMux, ref string, waits []string, old, new string) *httptest.ResponseRecorder {
+	list, _ := json.Marshal(waits)
+	body := strings.Replace(goodJob, `"ref":"req-000412"`, fmt.Sprintf(`"waits_on":%s,"ref":%q`, list, ref), 1)
+	body = strings.Replace(body, old, new, 1)
+	rec := httptest.NewRecorder()
+	mux.ServeHTTP(rec, httptest.NewRequest("POST", "/v1/jobs", strings.NewReader(body)))
+	return rec
+}
+
+func many(n, digits int) []string {
+	var rs []string
+	for i := range n {
+		rs = append(rs, fmt.Sprintf("req-%0*d", digits, i))
+	}
+	return rs
+}
+
+func TestSubmitWithNeeds(t *testing.T) {
+	stored := map[string]string{
+		"j/req-1": `{"job":{"ref":"req-1","shape":"batch"},"at":1,"chunk":64}`,
+		"j/req-2": `{"job":{"ref":"req-2","shape":"standing"},"at":1,"chunk":64}`,
+		"d/req-3": `{"phase":"done","tasks":4}`,
+		"d/req-4": `{"phase":"withdrawn","tasks":4,"job":{"ref":"req-4","shape":"batch"}}`,
+		"d/req-5": `{"phase":"withdrawn","tasks":4,"job":{"ref":"req-5","shape":"standing"}}`,
+		"j/req-6": `{"job":{"ref":"req-6","shape":"batch"},"at":1,"chunk":64}`,
+		"d/req-7": `{"phase":"done","tasks":1}`,
+	}
+	for i, r := range many(200, 30) {
+		stored[ledger.LiveKey(r)] = stored["j/req-1"]
+		if i < 100 {
+			stored[ledger.EndedKey("req-9"+r[5:])] = stored["d/req-3"]
+		}
+	}
+	var ended []string
+	for _, r := range many(100, 30) {
+		ended = append(ended, "req-9"+r[5:])
+	}
+	for _, tc := range []struct {
+		name   string
+		ref    string
+		waits  []string
+		status int
+		kept   []string
+	}{
+		{"live", "req-10", []string{"req-1"}, 201, []string{"req-1"}},
+		{"named twice", "req-10", []string{"req-6", "req-1", "req-6"}, 201, []string{"req-1", "req-6"}},
+		{"done ones need not be kept", "req-10", []string{"req-3", "req-1", "req-7"}, 201, []string{"req-1"}},
+		{"all done", "req-10", []string{"req-3"}, 201, nil},
+		{"withdrawn: accepted all the same", "req-10", []string{"req-4"}, 201, []string{"req-4"}},
+		{"never accepted", "req-10", []string{"req-1", "req-8"}, 422, nil},
+		{"itself", "req-10", []string{"req-10"}, 422, nil},
+		{"a service", "req-10", []string{"req-2"}, 422, nil},
+		{"a service that is over", "req-10", []string{"req-5"}, 422, nil},
+		{"no reference", "req-10", []string{"nonsense"}, 400, nil},
+		{"more than a value holds", "req-10", many(100, 30), 422, nil},
+		{"as many done ones", "req-10", ended, 201, nil},
+		{"more than are looked up", "req-10", many(maxNeeds+1, 30), 422, nil},
+		{"known, whatever it names", "req-6", []string{"req-8"}, 200, nil},
+		{"known and over, whatever it names", "req-7", []string{"req-7"}, 200, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			k := &keys{m: map[string]string{}}
+			for key, v := range stored {
+				k.m[key] = v
+			}
+			_, mux := users(t, k)
+			rec := submit(mux, tc.ref, tc.waits, "", "")
+			if rec.Code != tc.status {
+				t.Fatalf("%d %s", rec.Code, rec.Body)
+			}
+			if tc.status != 201 {
+				if _, there := k.m["j/req-10"]; there {
+					t.Error("stored all the same")
+				}
+				return
+			}
+			r, err := ledger.DecodeRecord([]byte(k.m["j/req-10"]))
+			if err != nil || !reflect.DeepEqual(r.Job.Needs, tc.kept) {
+				t.Errorf("kept %v, %v", r.Job.Needs, err)
+			}
+			if len(k.m["j/req-10"]) > 2<<10 {
+				t.Errorf("a record of %d bytes", len(k.m["j/req-10"]))
+			}
+		})
+	}
+}
+
+// What cannot be decided is answered at once, with a time to come back.
+func TestNeedsUndecided(t *testing.T) {
+	k := &keys{m: map[string]string{}, down: true}
+	_, mux := users(t, k)
+	began := time.Now()
+	rec := submit(mux, "req-10", []string{"req-1"}, "", "")
+	if rec.Code != 503 || rec.Header().Get("Retry-After") == "" {
+		t.Errorf("%d, Retry-After %q", rec.Code, rec.Header().Get("Retry-After"))
+	}
+	if time.Since(began) > time.Second {
+		t.Error("the user was kept waiting")
+	}
+}
+
+// A final state is remembered: naming a job that is done again costs no read.
+func TestNeedsFromMemory(t *testing.T) {
+	k := &keys{m: map[string]string{"d/req-3": `{"phase":"done","tasks":4}`}}
+	_, mux := users(t, k)
+	submit(mux, "req-10", []string{"req-3"}, "", "")
+	before := k.gets
+	if rec := submit(mux, "req-11", []string{"req-3"}, "", ""); rec.Code != 201 || k.gets != before {
+		t.Errorf("%d, %d reads", rec.Code, k.gets-before)
+	}
+}
+
+// A submission too large to be stored under the announced limits is refused for
+// good before they are in force, and not only then.
+func TestTooLarge(t *testing.T) {
+	k := &keys{m: map[string]string{}}
+	_, mux := users(t, k)
+	flavors := `["g8"` + strings.Repeat(`,"another-type-of-machine"`, 90) + `]`
+	if rec := submit(mux, "req-10", nil, `["g8"]`, flavors); rec.Code != 422 {
+		t.Errorf("%d %s", rec.Code, rec.Body)
+	}
+}
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -115,7 +115,7 @@
 			if j.Finished {
 				p.ends = true
 				p.at = now
-				end, err := Encode(Ending{Phase: wire.Done, Tasks: j.Spec.Members, AtMS: now.UnixMilli()})
+				end, err := Encode(Ending{Phase: wire.Done, Tasks: j.Spec.Members, Chunk: j.size, AtMS: now.UnixMilli()})
 				if err != nil {
 					continue
 				}
--- a/internal/ledger/compat_test.go
+++ b/internal/ledger/compat_test.go
@@ -187,3 +187,68 @@
 		})
 	}
 }
+
+// A leader may end between the transaction in which a job is done and those
+// that remove its other chunks. The next one finds claims in them, of tasks that
+// are done: it drops them with the chunk. Endings of version 0.1 do not tell the
+// size of the chunks.
+func TestDoneWithChunksLeft(t *testing.T) {
+	for _, ops := range []int{4, 8} {
+		for _, ending := range []string{"", `{"phase":"done","tasks":70}`} {
+			l := New("w", teams())
+			rec := job("b", wire.Batch, 70, 1)
+			rec.Chunk = 16
+			s := store{}
+			j := l.Add("req-1", rec, 1)
+			gen := uint64(1)
+			write := func() *Batch {
+				b := l.Next(limits(ops), now)
+				if b != nil {
+					gen++
+					s.apply(b)
+					l.Committed(b, gen)
+				}
+				return b
+			}
+			for i := range 70 {
+				if _, err := l.Claim(j, fmtHost("h%d", i%5), 1, "x"); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for write() != nil {
+			}
+			for _, h := range l.HeldBy(j) {
+				l.Finish(h)
+			}
+			write() // done, and no more
+			if s["d/req-1"] == nil || len(s) < 2 {
+				t.Fatalf("with %d changes nothing is left to find", ops)
+			}
+			if ending == "" {
+				ending = string(s["d/req-1"])
+			}
+			n := New("n", teams())
+			if err := n.AddEnded("req-1", []byte(ending)); err != nil {
+				t.Fatal(err)
+			}
+			for key, data := range s {
+				if key != "d/req-1" {
+					if err := n.Load(key, data, 9, 1); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			n.Loaded()
+			if hs := n.ClaimedHosts(); len(hs) != 0 {
+				t.Errorf("claims on %v", hs)
+			}
+			for b := n.Next(limits(ops), now); b != nil; b = n.Next(limits(ops), now) {
+				s.apply(b)
+				n.Committed(b, 10)
+			}
+			if len(s) != 1 || len(n.Jobs()) != 0 {
+				t.Errorf("%d keys are left", len(s))
+			}
+		}
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -75,6 +75,7 @@
 	// Lift is what it has from the jobs that need it; the caller's, and nil
 	// whenever those have changed.
 	Lift   *Lift
+	over   bool            // read as done; only its chunks are left
 	needs  map[string]bool // jobs not yet known to be done
 	doomed string          // a job it needs, if that was withdrawn
 
@@ -236,6 +237,12 @@
 	if err != nil {
 		return fmt.Errorf("ledger: %s: %w", key, err)
 	}
+	if j.over {
+		// All its tasks are done, also those that an earlier leader had no
+		// time to note here. Nor is it known where such a claim belongs: the
+		// ending of a job that is done did not tell the size of its chunks.
+		clear(c.claims)
+	}
 	j.chunks[n] = c
 	j.done += c.done.count()
 	base := n * j.size
@@ -551,6 +558,7 @@
 	}
 	j := l.Add(ref, Record{Job: e.Job, Chunk: e.Chunk}, 0)
 	j.Withdrawn = true
+	j.over = e.Phase == wire.Done
 	return nil
 }
 
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -47,6 +47,9 @@
 	Phase string   `json:"phase"`
 	Tasks int      `json:"tasks"`
 	Job   wire.Job `json:"job,omitzero"` // of a withdrawn one: its claims still count
+	// Chunk is the record's: chunks may be left that only the next leader
+	// removes, and version 0.1 stops on claims that it finds in those of a job
+	// that is done, unless it is told their size.
 	Chunk int      `json:"chunk,omitempty"`
 	AtMS  int64    `json:"at,omitempty"` // time of day of the end
 }
