--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -50,8 +50,8 @@
 	// Chunk is the record's: chunks may be left that only the next leader
 	// removes, and version 0.1 stops on claims that it finds in those of a job
 	// that is done, unless it is told their size.
-	Chunk int      `json:"chunk,omitempty"`
-	AtMS  int64    `json:"at,omitempty"` // time of day of the end
+	Chunk int   `json:"chunk,omitempty"`
+	AtMS  int64 `json:"at,omitempty"` // time of day of the end
 }
 
 // WithdrawnEnding is the ending of a withdrawn job. Of the job it keeps what
--- a/internal/sim/services_test.go
+++ b/internal/sim/services_test.go
@@ -34,11 +34,15 @@
 	next   uint64
 	down   bool
 	refuse map[string]bool // nodes that alone are refused
+	value  int             // limits: bytes of a value, changes of a transaction
+	ops    int
+	fallen bool
+	refust map[string]bool // transactions refused for their size
 	broke  func(string, ...any)
 }
 
 func newStore(rnd *rand.Rand, broke func(string, ...any)) *store {
-	s := &store{rnd: rnd, rev: 1, keys: map[string]wire.Item{}, grants: map[uint64]time.Time{}, lives: map[uint64]time.Duration{}, refuse: map[string]bool{}, broke: broke}
+	s := &store{rnd: rnd, rev: 1, keys: map[string]wire.Item{}, grants: map[uint64]time.Time{}, lives: map[uint64]time.Duration{}, refuse: map[string]bool{}, value: 16 << 10, ops: 16, refust: map[string]bool{}, broke: broke}
 	s.cond = sync.NewCond(&s.mu)
 	return s
 }
@@ -164,9 +168,34 @@
 	}
 }
 
+// lower lets the limits fall, as was announced to the controllers.
+func (s *store) lower(value, ops int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.value, s.ops, s.fallen = value, ops, true
+}
+
+// tooLarge tells whether a transaction is over the limits. Once they have fallen
+// as announced, one may be sent that a controller could not know to be too large,
+// but not twice.
+func (s *store) tooLarge(t wire.Commit) bool {
+	large := len(t.Apply) > s.ops || len(t.Guards) > 4*s.ops
+	for _, c := range t.Apply {
+		large = large || len(c.Data) > s.value
+	}
+	if large {
+		b, _ := json.Marshal(t)
+		if !s.fallen || s.refust[string(b)] {
+			s.broke("a transaction of %d changes, %d guards and %d bytes", len(t.Apply), len(t.Guards), len(b))
+		}
+		s.refust[string(b)] = true
+	}
+	return large
+}
+
 func (s *store) commit(t wire.Commit) (int, any) {
-	if len(t.Apply) > 16 || len(t.Guards) > 64 {
-		s.broke("a transaction of %d changes and %d guards", len(t.Apply), len(t.Guards))
+	if s.tooLarge(t) {
+		return 400, wire.Error{Error: "too large"}
 	}
 	var failed []string
 	for _, g := range t.Guards {
@@ -184,9 +213,6 @@
 	}
 	s.rev++
 	for _, c := range t.Apply {
-		if len(c.Data) > 16<<10 {
-			s.broke("a value of %d bytes", len(c.Data))
-		}
 		c.Stamp = s.rev
 		if c.Put != "" {
 			s.keys[c.Put] = wire.Item{Path: c.Put, Data: c.Data, Stamp: s.rev, Ticket: c.Ticket}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -48,6 +48,9 @@
 	done     map[ledger.Task]bool
 	told     map[string]string    // last phase told, by job
 	gone     map[string]time.Time // withdrawn as told
+	asked    map[string]bool      // a withdrawal was sent
+	accepted map[string]chan struct{}
+	upgraded [nodes]bool // told of the lower limits to come
 	starts   int
 	breaches []string
 }
@@ -74,6 +77,13 @@
 		w.broke("%s started, which nobody submitted", id)
 		return j
 	}
+	for _, n := range j.Needs {
+		for i := range w.jobs[n].Members {
+			if !w.done[ledger.Task{Ref: n, Index: i}] {
+				w.broke("too_early: %s starts before %s/%d is done", id, n, i)
+			}
+		}
+	}
 	if other := w.where[id]; other != "" {
 		w.broke("ran_twice: %s starts on %s while on %s", id, h.Ref, other)
 	}
@@ -102,6 +112,19 @@
 	return j
 }
 
+// orphan tells since when a user knows that something before a job is withdrawn;
+// run it with the lock held.
+func (w *world) orphan(ref string) (at time.Time) {
+	for _, n := range w.jobs[ref].Needs {
+		for _, t := range []time.Time{w.gone[n], w.orphan(n)} {
+			if !t.IsZero() && (at.IsZero() || t.Before(at)) {
+				at = t
+			}
+		}
+	}
+	return at
+}
+
 func (w *world) off(member, host string) {
 	id, _ := ledger.ParseTask(member)
 	w.mu.Lock()
@@ -164,6 +187,11 @@
 			Resources: settings.Resources{CPUShare: 0.1, MemoryMB: 100, Sockets: 500},
 		},
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.upgraded[n] {
+		s.Facts.State.Next = &settings.NextState{WriteRPS: 35, ValueKB: lowValue / 1024., TxnOps: lowOps}
+	}
 	for m := range nodes {
 		if m != n {
 			s.Members = append(s.Members, settings.Member{Node: fmt.Sprintf("host-%d", m), Endpoint: back(m)})
@@ -217,8 +245,18 @@
 	body, _ := json.Marshal(map[string]any{
 		"ref": j.Ref, "jobclass": j.Class, "owner": j.Owner, "shape": j.Shape, "rank": j.Rank, "members": j.Members, "cores": j.Cores,
 		"accelerators": 0, "ram_gb": j.RAM, "bundle": j.Bundle, "size_gb": 1, "same_place": false, "scatter": j.Scatter, "loaners": j.Loaners,
-		"expect_s": j.ExpectS, "snapshot_s": 0, "flush_s": 0,
+		"expect_s": j.ExpectS, "snapshot_s": 0, "flush_s": 0, "waits_on": j.Needs,
 	})
+	for _, n := range j.Needs {
+		w.mu.Lock()
+		known := w.accepted[n]
+		w.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-known:
+		}
+	}
 	ask := func(method, path string, body []byte) (int, string) {
 		rctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 		defer cancel()
@@ -246,8 +284,15 @@
 				w.broke("%s was refused: %d", j.Ref, status)
 				w.mu.Unlock()
 			}
-			accepted = status == 200 || status == 201
+			if accepted = status == 200 || status == 201; accepted {
+				w.mu.Lock()
+				close(w.accepted[j.Ref])
+				w.mu.Unlock()
+			}
 		case withdraw > 0 && time.Since(start) > withdraw:
+			w.mu.Lock()
+			w.asked[j.Ref] = true
+			w.mu.Unlock()
 			status, phase = ask("POST", "/v1/jobs/"+j.Ref+"/withdraw", nil)
 		default:
 			status, phase = ask("GET", "/v1/jobs/"+j.Ref, nil)
@@ -263,13 +308,16 @@
 			w.told[j.Ref] = phase
 		}
 		if phase == wire.Withdrawn {
-			if withdraw == 0 {
+			if withdraw == 0 && !w.severed(j.Ref) {
 				w.broke("went_back: %s called withdrawn", j.Ref)
 			}
 			if w.gone[j.Ref].IsZero() {
 				w.gone[j.Ref] = time.Now()
 			}
 		}
+		if at := w.orphan(j.Ref); (phase == wire.Queued || phase == wire.Running) && !at.IsZero() && time.Since(at) > cancel {
+			w.broke("orphaned: %s is %s %v after", j.Ref, phase, time.Since(at))
+		}
 		if phase == wire.Done {
 			for i := range j.Members {
 				if !w.done[ledger.Task{Ref: j.Ref, Index: i}] {
@@ -285,13 +333,60 @@
 	}
 }
 
+// severed tells whether a user has asked to withdraw something before a job; run
+// it with the lock held.
+func (w *world) severed(ref string) bool {
+	for _, n := range w.jobs[ref].Needs {
+		if w.asked[n] || w.severed(n) {
+			return true
+		}
+	}
+	return false
+}
+
+// The limits that the state service falls to on a day with pipelines. A record
+// just fits; a chunk of the many small tasks below, as laid out before, does not.
+const (
+	lowValue = 1 << 10
+	lowOps   = 4
+)
+
+// pipelines are jobs that wait for others: chains and diamonds, some cut short
+// by their users. And one of many small tasks, for the chunks that are on hand
+// when the limits fall.
+func pipelines(rnd *rand.Rand) (js []wire.Job, withdraw map[string]time.Duration) {
+	withdraw = make(map[string]time.Duration)
+	for p := range 5 {
+		var last []string
+		for s := range 4 {
+			var stage []string
+			for range 1 + rnd.IntN(2) {
+				j := wire.Job{Ref: fmt.Sprintf("req-1%02d%02d", p, len(js)), Class: "p", Owner: "ab"[p%2 : p%2+1], Shape: wire.Batch, Rank: "idle",
+					Members: 1 + rnd.IntN(4), Cores: 1, RAM: 1, Bundle: "img", Loaners: true, ExpectS: float64(2 + rnd.IntN(8)), Needs: last}
+				if s == 3 {
+					j.Rank, j.DueS = "urgent", 120
+				}
+				if rnd.IntN(8) == 0 {
+					withdraw[j.Ref] = time.Duration(1+rnd.IntN(30)) * time.Second
+				}
+				stage = append(stage, j.Ref)
+				js = append(js, j)
+			}
+			last = stage
+		}
+	}
+	return js, withdraw
+}
+
 // play plays a day and returns the rules it broke. Faults are drawn from the
-// seed; after them there is time to recover.
-func play(t testing.TB, seed uint64, tamper func(*world)) (breaches []string, w *world) {
+// seed; after them there is time to recover. On a day with pipelines the
+// controllers first come back one by one knowing of lower limits, which then
+// come into force while jobs laid out before are on hand.
+func play(t testing.TB, seed uint64, piped bool, tamper func(*world)) (breaches []string, w *world) {
 	rnd := rand.New(rand.NewPCG(seed, 7))
 	ctx, stop := context.WithCancel(context.Background())
 	w = &world{t: t, ctx: ctx, rnd: rand.New(rand.NewPCG(seed, 6)), net: newNetwork(rand.New(rand.NewPCG(seed, 8))), workers: map[string]*worker{}, jobs: map[string]wire.Job{},
-		where: map[ledger.Task]string{}, done: map[ledger.Task]bool{}, told: map[string]string{}, gone: map[string]time.Time{}}
+		where: map[ledger.Task]string{}, done: map[ledger.Task]bool{}, told: map[string]string{}, gone: map[string]time.Time{}, asked: map[string]bool{}, accepted: map[string]chan struct{}{}}
 	st := newStore(rand.New(rand.NewPCG(seed, 9)), w.broke)
 	cl := &cloud{w: w, asks: map[string][]string{}, hosts: map[string]wire.ListedHost{}, seen: map[string]time.Time{}, count: map[string]int{},
 		types: []wire.MachineType{{Label: "m", Cores: 8, RAM: 32, LocalGB: 20, PullRate: 1, Rate: 1, SpotPrice: 0.5, ReadyS: 3, Locales: []string{"a", "b"}}}}
@@ -315,22 +410,35 @@
 		if j.Shape == wire.Standing || i%5 == 0 {
 			withdraw = time.Duration(40+rnd.IntN(100)) * time.Second
 		}
-		delay := time.Duration(rnd.IntN(120)) * time.Second
-		w.mu.Lock()
-		w.jobs[j.Ref] = j
-		w.mu.Unlock()
-		w.wg.Go(func() {
-			select {
-			case <-ctx.Done():
-			case <-time.After(delay):
-				w.user(ctx, j, withdraw)
-			}
-		})
+		w.submit(ctx, j, time.Duration(rnd.IntN(120))*time.Second, withdraw)
 	}
 	if tamper != nil {
 		tamper(w)
 	}
 	time.Sleep(15 * time.Second)
+	if piped {
+		w.submit(ctx, wire.Job{Ref: "req-099999", Class: "s", Owner: "a", Shape: wire.Batch, Rank: "urgent", Members: 64, Cores: 0.25, RAM: 0.1, Bundle: "img", ExpectS: 60}, 0, 0)
+		for n := range nodes {
+			cs[n].crash()
+			w.mu.Lock()
+			w.upgraded[n] = true
+			w.mu.Unlock()
+			time.Sleep(8 * time.Second)
+			cs[n] = w.boot(n)
+			if other := (n + 1) % nodes; rnd.IntN(2) == 0 { // before or after its turn
+				cs[other].crash()
+				time.Sleep(4 * time.Second)
+				cs[other] = w.boot(other)
+			}
+			time.Sleep(time.Duration(rnd.IntN(8)) * time.Second)
+		}
+		js, withdraw := pipelines(rnd)
+		for _, j := range js {
+			w.submit(ctx, j, time.Duration(rnd.IntN(20))*time.Second, withdraw[j.Ref])
+		}
+		time.Sleep(time.Duration(rnd.IntN(5)) * time.Second)
+		st.lower(lowValue, lowOps)
+	}
 	for range 8 {
 		n := rnd.IntN(nodes)
 		name := fmt.Sprintf("host-%d", n)
@@ -419,6 +527,21 @@
 	return w.breaches, w
 }
 
+// submit has a user submit a job after a while.
+func (w *world) submit(ctx context.Context, j wire.Job, delay, withdraw time.Duration) {
+	w.mu.Lock()
+	w.jobs[j.Ref] = j
+	w.accepted[j.Ref] = make(chan struct{})
+	w.mu.Unlock()
+	w.wg.Go(func() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(delay):
+			w.user(ctx, j, withdraw)
+		}
+	})
+}
+
 func TestRulesHold(t *testing.T) {
 	seeds := uint64(8)
 	if n, err := strconv.ParseUint(os.Getenv("SIM_SEEDS"), 10, 64); err == nil {
@@ -427,7 +550,7 @@
 	for seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				breaches, w := play(t, seed, nil)
+				breaches, w := play(t, seed, seed%2 == 1, nil)
 				for _, b := range breaches {
 					t.Error(b)
 				}
@@ -452,7 +575,7 @@
 // a task that is said to be elsewhere, are both found.
 func TestChecksCanFail(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		breaches, _ := play(t, 1, func(w *world) {
+		breaches, _ := play(t, 1, false, func(w *world) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			for ref, j := range w.jobs {
