--- a/internal/control/flush.go
+++ b/internal/control/flush.go
@@ -18,6 +18,17 @@
 // guards.
 const txnBytes = 40 << 10
 
+// The end of a job takes three changes, so that is the least a batch must hold.
+const leastOps = 3
+
+// Shares of the write budget that bulk writes leave: what something waits for
+// leaves some to acceptances and withdrawals; what nothing waits for leaves most,
+// so that a job's end, for which a later one may wait, is written at once.
+const (
+	keepUrgent = 0.25
+	keepIdle   = 0.6
+)
+
 // flush writes what the ledger decided. One batch is under way at a time.
 func (r *reign) flush(ctx context.Context) error {
 	for {
@@ -30,18 +41,17 @@
 			return err
 		}
 		for try := 0; ; {
-			// The end of a job takes three changes, so that is the least.
-			room, err := r.st.WriteRoom(ctx, 3)
-			if err != nil {
-				return err
+			b, wait := r.batch()
+			if wait > 0 {
+				if !r.until(ctx, wait) {
+					return ctx.Err()
+				}
+				continue
 			}
-			r.mu.Lock()
-			b := r.led.Next(ledger.Limits{Ops: min(room, r.set.Facts.State.Least().TxnOps), Bytes: txnBytes, Value: r.st.Value()}, r.now())
-			r.mu.Unlock()
 			if b == nil {
 				break
 			}
-			err = r.commit(ctx, b)
+			err := r.commit(ctx, b)
 			if errors.Is(err, state.ErrRefused) {
 				if !state.Backoff(ctx, try, r.set.Report()/64, r.set.Report()/4) {
 					return ctx.Err()
@@ -57,6 +67,40 @@
 	}
 }
 
+// batch makes the next batch that the budget has room for, or tells how long
+// until there is room.
+func (r *reign) batch() (*ledger.Batch, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.led.Empty() {
+		return nil, 0
+	}
+	keep, urgent := keepIdle, r.led.Urgent()
+	if urgent {
+		keep = keepUrgent
+	}
+	room, wait := r.st.WriteRoom(leastOps, keep)
+	if wait > 0 {
+		return nil, wait
+	}
+	return r.led.Next(ledger.Limits{
+		Ops: min(room, r.set.Facts.State.Least().TxnOps), Bytes: txnBytes, Value: r.st.Value(), Urgent: urgent,
+	}, r.now()), 0
+}
+
+// until waits for room, or for something more urgent.
+func (r *reign) until(ctx context.Context, wait time.Duration) bool {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-r.flushes:
+	case <-t.C:
+	}
+	return true
+}
+
 // gather waits a moment where only finishes are to be written: nobody waits for
 // them, and the tasks that take the freed rooms are often of the same jobs, so
 // that one change holds both.
@@ -187,7 +231,7 @@
 		}
 	}
 	for _, j := range res.Ended {
-		r.log.Info("done", "job", j.Ref, "tasks", j.Spec.Members, "took_s", r.now().Sub(j.At).Seconds())
+		r.log.Info("done", "job", j.Ref, "class", j.Spec.Class, "tasks", j.Spec.Members, "took_s", r.now().Sub(j.At).Seconds(), "ready_s", r.now().Sub(j.ReadyAt).Seconds())
 	}
 	r.readied(res.Ready)
 	if len(res.Over) > 0 {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -119,7 +119,7 @@
 		return
 	}
 	if fresh {
-		u.log.Info("accepted", "job", ref, "class", job.Class, "owner", job.Owner, "tasks", job.Members, "cores", job.Cores, "ram_gb", job.RAM, "expect_s", job.ExpectS, "bundle", job.Bundle, "size_gb", job.SizeGB, "took_ms", u.now().Sub(began).Milliseconds())
+		u.log.Info("accepted", "job", ref, "class", job.Class, "owner", job.Owner, "tasks", job.Members, "cores", job.Cores, "ram_gb", job.RAM, "expect_s", job.ExpectS, "due_s", job.DueS, "waits_on", job.Needs, "bundle", job.Bundle, "size_gb", job.SizeGB, "took_ms", u.now().Sub(began).Milliseconds())
 		reply(w, http.StatusCreated, wire.Phase{Ref: ref, Phase: wire.Queued})
 		return
 	}
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -31,13 +31,14 @@
 // Empty tells whether nothing needs writing.
 func (l *Ledger) Empty() bool { return len(l.dirty) == 0 }
 
-// Urgent tells whether a claim waits to be written, or a job's end.
+// Urgent tells whether a claim waits to be written, or a job's end: tasks, users
+// and later jobs wait for those.
 func (l *Ledger) Urgent() bool {
-	return slices.ContainsFunc(l.dirty, func(d dirtyChunk) bool {
-		return d.job.Finished || l.claiming(d)
-	})
+	return slices.ContainsFunc(l.dirty, l.urgent)
 }
 
+func (l *Ledger) urgent(d dirtyChunk) bool { return l.rankOf(d) <= rankClaim }
+
 // claiming tells whether a chunk has claims to be written, without which their
 // tasks cannot start.
 func (l *Ledger) claiming(d dirtyChunk) bool {
@@ -50,11 +51,14 @@
 	Ops   int // changes
 	Bytes int // of all values together
 	Value int // bytes of one value
+	// Urgent leaves out what nothing waits for.
+	Urgent bool
 }
 
 // Next makes a batch, or nil when nothing needs writing. Until Committed or
-// Failed is called with it, no other batch may be made. Claims go first, then
-// finishes, then the tidying of jobs that are over.
+// Failed is called with it, no other batch may be made. The ends of jobs that
+// others wait for go first, then other ends, then claims, then finishes, then
+// the tidying of jobs that are over.
 func (l *Ledger) Next(lim Limits, now time.Time) *Batch {
 	l.writes++
 	size := lim.Bytes
@@ -70,10 +74,10 @@
 			continue
 		}
 		need := 1
-		if j.Finished {
+		if j.Finished && !guarded[j.Ref] {
 			need = 3
 		}
-		if len(b.Apply)+need > lim.Ops || size <= 0 {
+		if len(b.Apply)+need > lim.Ops || size <= 0 || lim.Urgent && !l.urgent(d) {
 			left = append(left, d)
 			continue
 		}
@@ -133,14 +137,27 @@
 	return b
 }
 
+// Ranks of what is to be written.
+const (
+	rankNeeded = iota // the end of a job that others wait for
+	rankEnd
+	rankClaim
+	rankFinish
+	rankTidy
+)
+
 func (l *Ledger) rankOf(d dirtyChunk) int {
 	switch {
 	case d.job.Withdrawn:
-		return 2
+		return rankTidy
+	case d.job.Finished && len(l.needers[d.job.Ref]) > 0:
+		return rankNeeded
+	case d.job.Finished:
+		return rankEnd
 	case l.claiming(d):
-		return 0
+		return rankClaim
 	}
-	return 1
+	return rankFinish
 }
 
 // Keys are the chunk keys the batch writes.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -300,9 +300,14 @@
 	}
 	o.claims[h.Task()] = h
 	o.used.add(&j.Spec, 1)
+	l.spend(j, 1)
+}
+
+// spend accounts for a number of the job's tasks with its team.
+func (l *Ledger) spend(j *Job, n float64) {
 	if u := l.usage[j.Spec.Owner]; u != nil {
-		u.CPUs += j.Spec.Cores
-		u.GPUs += j.Spec.Accel
+		u.CPUs += n * j.Spec.Cores
+		u.GPUs += n * j.Spec.Accel
 	}
 }
 
@@ -316,14 +321,11 @@
 	delete(o.claims, h.Task())
 	if !h.Over {
 		o.used.add(&j.Spec, -1)
+		l.spend(j, -1)
 	}
 	if len(o.claims) == 0 {
 		delete(l.hosts, h.Host)
 	}
-	if u := l.usage[j.Spec.Owner]; u != nil {
-		u.CPUs -= j.Spec.Cores
-		u.GPUs -= j.Spec.Accel
-	}
 	c := j.chunks[h.Index/j.size]
 	delete(c.claims, h.Index%j.size)
 	if !h.Committed {
@@ -479,8 +481,9 @@
 	j.requeue = append(j.requeue, h.Index)
 }
 
-// Finish notes a finished task. The claim stays until the finish is durable,
-// so that the worker is not told to forget it before.
+// Finish notes a finished task. The claim stays until the finish is durable, so
+// that the worker is not told to forget it before; but the task is surely gone
+// from its machine, so it takes no more of it, nor of its team's limit.
 func (l *Ledger) Finish(h *Held) {
 	j := h.Job
 	if j.claims[h.Index] != h || h.Over {
@@ -488,6 +491,7 @@
 	}
 	h.Over = true
 	l.hosts[h.Host].used.add(&j.Spec, -1)
+	l.spend(j, -1)
 	j.done++
 	c := j.chunks[h.Index/j.size]
 	c.done.set(h.Index % j.size)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -469,3 +469,55 @@
 		t.Errorf("first %v, want the claim", b.Refs())
 	}
 }
+
+// What others wait for is written first, and alone while the budget is short:
+// the end of a needed job, then other ends and claims, then plain finishes.
+func TestOrderOfWrites(t *testing.T) {
+	l := graph("1", "2", "3 1")
+	l.Add("req-4", Record{Job: wire.Job{Owner: "b", Shape: wire.Batch, Members: 3, Cores: 1}, Chunk: 4}, 9)
+	held := map[string]*Held{}
+	for _, ref := range []string{"req-4", "req-2", "req-1"} {
+		h, err := l.Claim(l.Job(ref), "h", 1, "x")
+		if err != nil {
+			t.Fatal(err)
+		}
+		held[ref] = h
+	}
+	l.Committed(l.Next(limits(16), now), 10)
+	for _, ref := range []string{"req-4", "req-2", "req-1"} {
+		l.Finish(held[ref])
+	}
+	var got []string
+	lim := limits(3)
+	for lim.Urgent = true; l.Urgent(); {
+		b := l.Next(lim, now)
+		got = append(got, b.Refs()...)
+		l.Committed(b, 11)
+	}
+	if fmt.Sprint(got) != "[req-1 req-2]" {
+		t.Errorf("written %v, want the needed job's end, the other's, and no plain finish", got)
+	}
+	if b := l.Next(limits(3), now); b == nil || b.Refs()[0] != "req-4" {
+		t.Error("the finish is not written in the end")
+	}
+}
+
+// A task that is over is gone from its machine: before its finish is durable its
+// team may claim another in its place, and once it is, nothing is freed twice.
+func TestOverTakesNothing(t *testing.T) {
+	l := New("w", teams())
+	j := l.Add("req-1", job("a", wire.Batch, 3, 16), 1)
+	h, _ := l.Claim(j, "h", 1, "x")
+	l.Committed(l.Next(limits(16), now), 2)
+	l.Finish(h)
+	if u := l.Usage("a"); u.CPUs != 0 {
+		t.Fatalf("%v CPUs", u.CPUs)
+	}
+	if _, err := l.Claim(j, "g", 1, "x"); err != nil {
+		t.Fatal(err)
+	}
+	l.Committed(l.Next(limits(16), now), 3)
+	if u := l.Usage("a"); u.CPUs != 16 {
+		t.Errorf("%v CPUs, want one task's", u.CPUs)
+	}
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -134,24 +134,16 @@
 // Requests counts what was sent.
 func (c *Client) Requests() int64 { return c.asked.Load() }
 
-// WriteRoom waits until bulk writes can be made that leave a part of the budget
-// to single ones, which users and leadership wait for, and tells how many: at
-// least as many as given.
-func (c *Client) WriteRoom(ctx context.Context, least int) (int, error) {
-	for {
-		keep := float64(c.writes.Burst()) / 4
-		lack := min(float64(least)+keep, float64(c.writes.Burst())) - c.writes.Tokens()
-		if lack <= 0 {
-			return max(least, int(c.writes.Tokens()-keep)), nil
-		}
-		t := time.NewTimer(time.Duration(lack / float64(c.writes.Limit()) * float64(time.Second)))
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return 0, ctx.Err()
-		case <-t.C:
-		}
+// WriteRoom tells how many bulk writes can be made now that leave a share of the
+// budget to single ones, which users and leadership wait for. If that is fewer
+// than the least, it tells how long until there is room for those.
+func (c *Client) WriteRoom(least int, keep float64) (room int, wait time.Duration) {
+	burst, left := float64(c.writes.Burst()), c.writes.Tokens()
+	keep *= burst
+	if lack := min(float64(least)+keep, burst) - left; lack > 0 {
+		return 0, time.Duration(lack / float64(c.writes.Limit()) * float64(time.Second))
 	}
+	return max(least, int(left-keep)), 0
 }
 
 // do sends one request. It waits for the budget first; a request that cannot
