--- /dev/null
+++ b/internal/control/chain_test.go
@@ -0,0 +1,156 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"rillflow/internal/wire"
+)
+
+// On a machine with a notice only what will be done in time stays.
+func TestEvacuate(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		job    wire.Job
+		ran    time.Duration
+		others []float64 // run times of the job's finished tasks
+		left   time.Duration
+		leaves bool
+	}{
+		{"done before the machine goes", wire.Job{ExpectS: 30}, 20 * time.Second, nil, 15 * time.Second, false},
+		{"not done by then", wire.Job{ExpectS: 30}, 10 * time.Second, nil, 15 * time.Second, true},
+		{"fetching still", wire.Job{ExpectS: 30}, 0, nil, 15 * time.Second, true},
+		{"others show that it takes longer", wire.Job{ExpectS: 30}, 20 * time.Second, []float64{80, 80, 80, 80}, 15 * time.Second, true},
+		{"others show that it is about to be done", wire.Job{ExpectS: 60}, 20 * time.Second, []float64{20, 22, 24, 20, 22}, 15 * time.Second, false},
+		{"overdue", wire.Job{ExpectS: 30}, time.Minute, nil, time.Second, false},
+		{"a replica is looked after elsewhere", wire.Job{Shape: wire.Standing}, time.Minute, nil, 15 * time.Second, false},
+		{"a gang stops whole or not at all", wire.Job{Shape: wire.Ensemble, ExpectS: 30}, time.Second, nil, 15 * time.Second, false},
+		{"no notice", wire.Job{ExpectS: 300}, time.Second, nil, 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := term(t)
+			if tc.job.Shape == "" {
+				tc.job.Shape = wire.Batch
+			}
+			tc.job.Members, tc.job.Cores, tc.job.Loaners = 2, 1, true
+			c := r.run(t, r.add("req-1", tc.job), "h0", tc.ran)
+			if tc.ran == 0 {
+				c.Running = time.Time{}
+			}
+			for _, s := range tc.others {
+				c.Job.Ran.Sum += s
+				c.Job.Ran.N++
+			}
+			if tc.left > 0 {
+				r.hosts["h0"].WarnAt = now.Add(tc.left)
+			}
+			if r.evacuate(now); c.Stopping != tc.leaves {
+				t.Errorf("stopped: %v", c.Stopping)
+			}
+		})
+	}
+}
+
+// A chain's last job gives its rank and its deadline, less the steps between, to
+// all that it needs, however late it comes, and takes them back when withdrawn.
+func TestLift(t *testing.T) {
+	r := term(t)
+	due := func(ref string) float64 {
+		at := r.lift(r.led.Job(ref)).Due[2]
+		if at.IsZero() {
+			return 0
+		}
+		return at.Sub(now).Seconds()
+	}
+	check := func(when string, want ...float64) {
+		t.Helper()
+		for i, w := range want {
+			ref := fmt.Sprint("req-", i+1)
+			rank := rankOf("idle")
+			if w != 0 {
+				rank = rankOf("urgent")
+			}
+			if got := due(ref); got != w || r.rank(r.led.Job(ref)) != rank {
+				t.Errorf("%s: %s is due in %v, rank %d; want %v, %d", when, ref, got, r.rank(r.led.Job(ref)), w, rank)
+			}
+		}
+	}
+	add := func(ref string, expect float64, needs ...string) {
+		r.add(ref, wire.Job{Shape: wire.Batch, Rank: "idle", Members: 1, Cores: 1, ExpectS: expect, Needs: needs})
+	}
+	add("req-1", 10)
+	add("req-2", 20, "req-1")
+	add("req-3", 40, "req-1")
+	add("req-4", 8, "req-2", "req-3")
+	check("before the last one", 0, 0, 0, 0)
+	last := wire.Job{Class: "d", Shape: wire.Batch, Rank: "urgent", Members: 1, Cores: 1, ExpectS: 4, DueS: 200}
+	last.Needs = []string{"req-4"}
+	r.add("req-5", last)
+	// 1.5 deadlines; a step takes 1.5 times its expectation and half a report.
+	d5 := 300.0
+	d4 := d5 - 1.5*4 - 1.5
+	d2 := d4 - 1.5*8 - 1.5
+	d1 := d2 - 1.5*40 - 1.5 // the longer branch decides
+	check("with the last one", d1, d2, d2, d4)
+	sooner := last
+	sooner.DueS, sooner.Needs = 40, []string{"req-2"}
+	r.add("req-6", sooner)
+	check("with one that is due sooner", 60-1.5*4-1.5-1.5*20-1.5, 60-1.5*4-1.5, d2, d4)
+	r.led.Withdraw("req-6")
+	check("that one withdrawn", d1, d2, d2, d4)
+	r.led.Withdraw("req-5")
+	check("all withdrawn", 0, 0, 0, 0)
+}
+
+// A lifted rank goes before others within its own team's guarantee; beyond that
+// it takes nothing from those within theirs.
+func TestLiftTakesNoGuarantee(t *testing.T) {
+	r := term(t)
+	chain := r.add("req-1", wire.Job{Owner: "u", Shape: wire.Batch, Rank: "idle", Members: 9, Cores: 2, ExpectS: 9})
+	other := r.add("req-2", wire.Job{Owner: "t", Shape: wire.Batch, Rank: "idle", Members: 9, Cores: 2, ExpectS: 9})
+	r.add("req-3", wire.Job{Owner: "u", Shape: wire.Batch, Rank: "urgent", Members: 1, Cores: 1, Needs: []string{"req-1"}})
+	if r.tier(chain) >= r.tier(other) {
+		t.Error("the chain does not go first within its guarantee")
+	}
+	r.run(t, chain, "h0", time.Second)
+	r.run(t, chain, "h0", time.Second) // 4 of 4 guaranteed CPUs
+	if r.tier(chain) <= r.tier(other) {
+		t.Error("beyond its guarantee the chain goes before one within its own")
+	}
+}
+
+// A job that waits for others is in no queue, rents nothing and counts nowhere.
+func TestWaitingJobIsNoQueue(t *testing.T) {
+	r := term(t)
+	r.add("req-1", wire.Job{Class: "x", Shape: wire.Batch, Rank: "idle", Members: 1, Cores: 1})
+	r.add("req-2", wire.Job{Class: "x", Shape: wire.Batch, Rank: "idle", Members: 50, Cores: 1, Loaners: true, Needs: []string{"req-1"}})
+	if qs := r.queues(now); len(qs) != 1 || qs[0].count != 1 {
+		t.Errorf("%d queues, %+v", len(qs), qs)
+	}
+	if n := r.need(now); n.Steady != 1 || n.Passing != 0 {
+		t.Errorf("need %+v", n)
+	}
+	at := now.Add(time.Minute)
+	r.led.Settle("req-1", true, at)
+	if qs := r.queues(at); qs[0].count != 51 {
+		t.Errorf("%d unfinished once ready", qs[0].count)
+	}
+	if w := r.wanted(0, r.led.Job("req-2")); !w.IsZero() {
+		t.Errorf("wanted by %v", w)
+	}
+}
+
+// Times other than a deadline count from when the job could start.
+func TestTimesFromReady(t *testing.T) {
+	r := term(t)
+	j := r.add("req-2", wire.Job{Class: "f", Shape: wire.Batch, Members: 1, Cores: 1, ExpectS: 1, Needs: []string{"req-1"}})
+	at := now.Add(5 * time.Minute)
+	r.led.Settle("req-1", true, at)
+	if w := r.wanted(0, j); !w.Equal(at.Add(time.Minute)) {
+		t.Errorf("wanted %v after it was ready", w.Sub(at))
+	}
+	if u := r.urgency(j, at.Add(10*time.Second)); u.stage != 0 {
+		t.Errorf("late by %d stages", u.stage)
+	}
+}
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -245,6 +245,8 @@
 		// Only tasks that were seen running teach: a result that was kept
 		// from an earlier try comes back at once and says nothing.
 		if !c.Running.IsZero() {
+			j.Ran.Sum += now.Sub(c.Running).Seconds()
+			j.Ran.N++
 			f := agent.Finish{Type: r.typeOf(j), Flavor: h.Flavor, Run: now.Sub(c.Running)}
 			if r.term.Map().Owner(h.Name) == r.set.Node {
 				r.parts.Learn(f)
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -28,6 +28,7 @@
 		r.mu.Lock()
 		now := r.now()
 		r.expire(now)
+		r.evacuate(now)
 		deaf := r.deaf(now)
 		poll := r.strangers(now)
 		r.mu.Unlock()
@@ -383,6 +384,8 @@
 		case listed && l.Phase == wire.HostFailed:
 			why = "failed"
 		case !h.Heard.IsZero() && now.Sub(h.Lately()) > silence,
+			// The cloud said it would take it: there is less to doubt.
+			!h.WarnAt.IsZero() && now.After(h.WarnAt) && now.Sub(h.Lately()) > 3*r.set.Report()/2,
 			h.Heard.IsZero() && now.Sub(r.began) > silence && !h.Running.IsZero() && now.Sub(h.Running) > silence && now.Sub(h.Polled) > silence,
 			h.Heard.IsZero() && !listed && len(claims) > 0 && now.Sub(r.began) > r.set.Lease():
 			why = "silent"
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -83,6 +83,9 @@
 	RetryAt  time.Time
 	Fails    int             // failures in a row
 	FailedOn map[string]bool // hosts where a task failed
+	// Ran is how long its finished tasks ran that were seen running; the
+	// caller's too.
+	Ran Mean
 	// Type is the job's type for the placement rule; the caller's too.
 	Type string
 	// PreemptAt is when others may next be stopped for it; the caller's too.
@@ -91,6 +94,12 @@
 	WaitingSince time.Time
 }
 
+// Mean is a sum with the number of its terms.
+type Mean struct {
+	Sum float64
+	N   int
+}
+
 // Done counts finished tasks.
 func (j *Job) Done() int { return j.done }
 
