--- a/internal/control/chain_test.go
+++ b/internal/control/chain_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"rillflow/internal/settings"
 	"rillflow/internal/wire"
 )
 
@@ -154,3 +155,38 @@
 		t.Errorf("late by %d stages", u.stage)
 	}
 }
+
+// Work that a deadline depends on is kept off machines that the cloud may take,
+// while firm ones have room to spare.
+func TestBoundToFirm(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		tasks int
+		due   bool
+		price bool
+		firm  bool
+	}{
+		{"room to spare", 8, true, false, true},
+		{"no room to spare", 9, true, false, false},
+		{"nobody waits by a deadline", 8, false, false, false},
+		{"users pay by the machine", 8, true, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := term(t)
+			r.hosts["h0"].Loaners, r.hosts["h1"].Loaners = true, true // 16 cores are firm
+			if tc.price {
+				r.set.Facts.Objectives = append(r.set.Facts.Objectives, settings.Objective{Kind: "price"})
+			}
+			r.set.Operator.Fleet.Thrift = "auto"
+			j := r.add("req-1", wire.Job{Shape: wire.Batch, Rank: "idle", Members: tc.tasks, Cores: 1, Loaners: true})
+			last := wire.Job{Class: "d", Shape: wire.Batch, Rank: "urgent", Members: 1, Cores: 1, Needs: []string{"req-1"}}
+			if tc.due {
+				last.DueS = 100
+			}
+			r.add("req-2", last)
+			if w := r.waiting(j, newSurvey(r.rooms(now)), now); w.Loaners == tc.firm || w.Tasks != tc.tasks {
+				t.Errorf("%d tasks, spot machines allowed: %v", w.Tasks, w.Loaners)
+			}
+		})
+	}
+}
--- a/internal/control/gang.go
+++ b/internal/control/gang.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rillflow/internal/ledger"
+	"rillflow/internal/wire"
 )
 
 // gangs starts every gang for whose waiting tasks there is room now, all of
@@ -138,9 +139,12 @@
 }
 
 // slots is how many tasks of a job the machine holds when empty.
-func (m *room) slots(j *ledger.Job) int {
-	s, n := &j.Spec, j.Spec.Members
-	for _, q := range [][2]float64{{m.t.Cores, s.Cores}, {m.t.Accel, s.Accel}, {m.t.RAM, s.RAM}} {
+func (m *room) slots(j *ledger.Job) int { return slots(&j.Spec, m.t.Cores, m.t.Accel, m.t.RAM) }
+
+// slots is how many tasks of a job fit an amount.
+func slots(s *wire.Job, cores, accel, ram float64) int {
+	n := s.Members
+	for _, q := range [][2]float64{{cores, s.Cores}, {accel, s.Accel}, {ram, s.RAM}} {
 		if q[1] > 0 {
 			n = min(n, int((q[0]+slack)/q[1]))
 		}
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -186,12 +186,13 @@
 
 // survey is what the jobs of a pass ask of all rooms, looked up once.
 type survey struct {
+	rooms []*room
 	zones []string
 	warm  map[string][]*room // rooms that have an image
 }
 
 func newSurvey(rooms []*room) *survey {
-	v := &survey{warm: make(map[string][]*room)}
+	v := &survey{rooms: rooms, warm: make(map[string][]*room)}
 	for _, m := range rooms {
 		if !slices.Contains(v.zones, m.h.Zone) {
 			v.zones = append(v.zones, m.h.Zone)
@@ -205,6 +206,24 @@
 	return v
 }
 
+// firm is how many tasks of a job the free rooms of firm machines hold.
+func (v *survey) firm(j *ledger.Job) int {
+	n := 0
+	for _, m := range v.rooms {
+		if !m.h.Loaners && m.fits(j) {
+			n += slots(&j.Spec, m.cores, m.accel, m.ram)
+		}
+	}
+	return n
+}
+
+// bound tells whether a job had better run on machines that the cloud does not
+// take: others wait for it and have a deadline, so that one lost task holds all
+// up, and the users name no price.
+func (r *reign) bound(j *ledger.Job) bool {
+	return !r.set.Frugal() && slices.ContainsFunc(r.lift(j).Due, func(t time.Time) bool { return !t.IsZero() })
+}
+
 // cloneQueues copies what picking changes: each owner picks as if alone, and
 // the ledger confirms the best of all picks.
 func cloneQueues(qs []placement.Queue) []placement.Queue {
@@ -228,6 +247,9 @@
 		Avoid: slices.Sorted(maps.Keys(j.FailedOn)),
 	}
 	w.Within = r.within(j)
+	if s.Loaners && r.bound(j) && look.firm(j) >= 2*w.Tasks {
+		w.Loaners = false
+	}
 	if w.Standing {
 		for _, m := range look.warm[s.Bundle] {
 			if !slices.Contains(w.Warm, m.h.Zone) && m.fits(j) {
