--- a/internal/serve/front.go
+++ b/internal/serve/front.go
@@ -145,6 +145,7 @@
 	UpS      float64                `json:"up_s"`
 	StateS   float64                `json:"state_silent_s"`
 	Requests int64                  `json:"state_requests"`
+	Lower    bool                   `json:"lower_limits"` // of the state service, as announced
 	Peers    map[string]peer.Status `json:"peers"`
 	Rates    []placement.Row        `json:"rates"`
 	Leading  *control.View          `json:"leading,omitempty"`
@@ -153,7 +154,7 @@
 func (d *daemon) status(w http.ResponseWriter, _ *http.Request) {
 	reply(w, http.StatusOK, Status{
 		Node: d.set.Node, Version: Version, Map: d.el.Known(), UpS: time.Since(d.began).Seconds(),
-		StateS: d.st.SinceOK().Seconds(), Requests: d.st.Requests(), Peers: d.mesh.Peers(),
+		StateS: d.st.SinceOK().Seconds(), Requests: d.st.Requests(), Lower: d.st.Fallen(), Peers: d.mesh.Peers(),
 		Rates: d.part.Rows(), Leading: d.control.View(),
 	})
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -107,6 +107,9 @@
 	return c.value
 }
 
+// Fallen tells whether the announced limits were found in force.
+func (c *Client) Fallen() bool { return c.fallen.Load() }
+
 // fall goes over to the announced limits for good: a refusal has shown that
 // they are in force.
 func (c *Client) fall() {
