--- a/internal/peer/compat_test.go
+++ b/internal/peer/compat_test.go
@@ -75,24 +75,32 @@
 	}
 }
 
-// node is a handler that only tells how it stands.
-type node struct{ version string }
+// node is a handler that only tells how it stands, and picks as told.
+type node struct {
+	version string
+	pick    func(placement.Offer) []placement.Picked
+}
+
+func (n *node) Ping() Ping                                    { return Ping{Node: "n"} }
+func (n *node) Pinged(Ping)                                   {}
+func (n *node) Beat(context.Context, *wire.Report) BeatAnswer { return BeatAnswer{} }
+func (n *node) Pick(o placement.Offer) []placement.Picked     { return n.pick(o) }
+func (n *node) User(context.Context, UserRequest) UserAnswer  { return UserAnswer{} }
+func (n *node) Counts(string) Counts                          { return Counts{} }
+func (n *node) Version() string                               { return n.version }
+
+func refuse(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
 
-func (n *node) Ping() Ping                                          { return Ping{Node: "n"} }
-func (n *node) Pinged(Ping)                                         {}
-func (n *node) Beat(context.Context, *wire.Report) BeatAnswer       { return BeatAnswer{} }
-func (n *node) Pick(placement.Offer) []placement.Picked             { return nil }
-func (n *node) User(context.Context, UserRequest) UserAnswer        { return UserAnswer{} }
-func (n *node) Counts(string) Counts                                { return Counts{} }
-func (n *node) Version() string                                     { return n.version }
-func dialNothing(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
-func quiet() *slog.Logger                                           { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
-func old(m *Mesh, ctx context.Context, f frame) (body []byte, ok bool) { // as version 0.1 answers
-	if f.kind >= kindVersion {
-		return nil, false
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// old answers a request as version 0.1 does.
+func old(ctx context.Context, m *Mesh, f frame) frame {
+	if f.kind < kindVersion {
+		if body, err := m.answer(ctx, f); err == nil {
+			return frame{kind: kindAnswer, id: f.id, body: body}
+		}
 	}
-	body, err := m.answer(ctx, f)
-	return body, err == nil
+	return frame{kind: kindRefuse, id: f.id}
 }
 
 // A peer's version is known from its answer, an old one by its refusal, and a
@@ -101,7 +109,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		far := NewMesh(nil, &node{"0.2.0"}, time.Second, 4, dialNothing, quiet())
+		far := NewMesh(nil, &node{version: "0.2.0"}, time.Second, 4, refuse, quiet())
 		var isOld bool
 		var conn net.Conn
 		dial := func(context.Context, string, string) (net.Conn, error) {
@@ -118,18 +126,14 @@
 					if err != nil {
 						return
 					}
-					out := frame{kind: kindRefuse, id: f.id}
-					if body, ok := old(far, ctx, f); ok {
-						out = frame{kind: kindAnswer, id: f.id, body: body}
-					}
-					if writeFrame(there, out) != nil {
+					if writeFrame(there, old(ctx, far, f)) != nil {
 						return
 					}
 				}
 			}()
 			return near, nil
 		}
-		m := NewMesh([]settings.Member{{Node: "n", Endpoint: "n:1"}}, &node{"0.2.0"}, time.Second, 4, dial, quiet())
+		m := NewMesh([]settings.Member{{Node: "n", Endpoint: "n:1"}}, &node{version: "0.2.0"}, time.Second, 4, dial, quiet())
 		done := make(chan struct{})
 		go func() { defer close(done); m.links["n"].run(ctx, m.h) }()
 		for i, want := range []string{"0.2.0", "", "0.2.0"} {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -105,9 +105,20 @@
 	return decodeBeatAnswer(b)
 }
 
-// Pick asks a part's owner to pick.
+// Pick asks a part's owner to pick. An offer too large for a frame goes in
+// parts, each with some of the rooms: the owner then picks for each as if alone,
+// and the ledger confirms the best of all, as it does over several owners.
 func (m *Mesh) Pick(ctx context.Context, node string, o *placement.Offer) ([]placement.Picked, error) {
-	b, err := m.ask(ctx, node, kindOffer, encodeOffer(o))
+	body := encodeOffer(o)
+	if half := len(o.Rooms) / 2; len(body) > maxPayload && half > 0 {
+		one, err := m.Pick(ctx, node, &placement.Offer{Rooms: o.Rooms[:half], Queues: o.Queues})
+		if err != nil {
+			return nil, err
+		}
+		two, err := m.Pick(ctx, node, &placement.Offer{Rooms: o.Rooms[half:], Queues: o.Queues})
+		return append(one, two...), err
+	}
+	b, err := m.ask(ctx, node, kindOffer, body)
 	if err != nil {
 		return nil, err
 	}
@@ -201,7 +212,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return encodePicks(m.h.Pick(o)), nil
+		return encodePicks(bound(m.h.Pick(o))), nil
 	case kindUser:
 		r, err := decodeUserRequest(f.body)
 		if err != nil {
@@ -219,6 +230,22 @@
 	return nil, fmt.Errorf("%w: kind %d", ErrFormat, f.kind)
 }
 
+// bound leaves out the last picks where all do not fit a frame; their rooms are
+// offered again with the next pass.
+func bound(ps []placement.Picked) []placement.Picked {
+	size := 0
+	for i := range ps {
+		if size += maxPick + len(ps[i].Host) + len(ps[i].Ref); size > maxPayload-headerLen {
+			return ps[:i]
+		}
+	}
+	return ps
+}
+
+// maxPick is what a pick takes at most, its strings aside: their lengths and the
+// tier as varints, two amounts.
+const maxPick = 3*10 + 2*8
+
 // Link is the connection that this node dialled to another.
 type Link struct {
 	node, addr string
