--- a/internal/sim/services_test.go
+++ b/internal/sim/services_test.go
@@ -168,6 +168,12 @@
 	}
 }
 
+func (s *store) get(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.keys[key].Data)
+}
+
 // lower lets the limits fall, as was announced to the controllers.
 func (s *store) lower(value, ops int) {
 	s.mu.Lock()
@@ -236,6 +242,7 @@
 	seen  map[string]time.Time // when listed first
 	count map[string]int
 	next  int
+	most  int // machines of a type, zone and kind
 }
 
 func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -274,7 +281,7 @@
 			return
 		}
 		var names []string
-		for len(names) < q.HowMany && c.count[q.Flavor+q.Locale] < 3 {
+		for len(names) < q.HowMany && c.count[q.Flavor+q.Locale] < c.most {
 			c.count[q.Flavor+q.Locale]++
 			c.next++
 			n := fmt.Sprintf("i-%06d", c.next)
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -50,6 +51,7 @@
 	gone     map[string]time.Time // withdrawn as told
 	asked    map[string]bool      // a withdrawal was sent
 	accepted map[string]chan struct{}
+	limit    float64     // of each team, in CPUs
 	upgraded [nodes]bool // told of the lower limits to come
 	starts   int
 	breaches []string
@@ -103,7 +105,7 @@
 			zone++
 		}
 	}
-	if used > limit {
+	if used > w.limit {
 		w.broke("quota: %v CPUs of %s", used, j.Owner)
 	}
 	if j.Scatter && zone > (j.Members+1)/2 {
@@ -169,8 +171,6 @@
 	k.sent = time.Now().Add(time.Hour) // it is off: nothing happens there any more
 }
 
-const limit = 24.0
-
 func (w *world) settings(n int) *settings.Settings {
 	op, err := settings.ParseOperator(nil)
 	if err != nil {
@@ -180,7 +180,7 @@
 		Node: fmt.Sprintf("host-%d", n), Front: front(n), Back: back(n), Operator: op,
 		Services: settings.Services{Cloud: "cloud:1", State: "state:1"},
 		Facts: settings.Facts{
-			Teams:     []settings.Team{{Name: "a", CPUs: 8, CPUsMax: limit}, {Name: "b", CPUs: 8, CPUsMax: limit}},
+			Teams:     []settings.Team{{Name: "a", CPUs: 8, CPUsMax: w.limit}, {Name: "b", CPUs: 8, CPUsMax: w.limit}},
 			Workers:   settings.Workers{ReportS: report.Seconds(), LeaseS: lease.Seconds(), CancelS: cancel.Seconds()},
 			State:     settings.State{RPS: 200, WriteRPS: 50, ValueKB: 16, TxnOps: 16},
 			Cloud:     settings.Cloud{RPS: 5, ListLagS: 2},
@@ -378,17 +378,14 @@
 	return js, withdraw
 }
 
-// play plays a day and returns the rules it broke. Faults are drawn from the
-// seed; after them there is time to recover. On a day with pipelines the
-// controllers first come back one by one knowing of lower limits, which then
-// come into force while jobs laid out before are on hand.
-func play(t testing.TB, seed uint64, piped bool, tamper func(*world)) (breaches []string, w *world) {
-	rnd := rand.New(rand.NewPCG(seed, 7))
-	ctx, stop := context.WithCancel(context.Background())
-	w = &world{t: t, ctx: ctx, rnd: rand.New(rand.NewPCG(seed, 6)), net: newNetwork(rand.New(rand.NewPCG(seed, 8))), workers: map[string]*worker{}, jobs: map[string]wire.Job{},
+// begin sets up a world of controllers and what they need, with a limit for each
+// team and as many machines of a kind as the most. end takes it down again.
+func begin(t testing.TB, seed uint64, limit float64, most int) (ctx context.Context, w *world, st *store, cl *cloud, cs *[nodes]*node, end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	w = &world{t: t, ctx: ctx, limit: limit, rnd: rand.New(rand.NewPCG(seed, 6)), net: newNetwork(rand.New(rand.NewPCG(seed, 8))), workers: map[string]*worker{}, jobs: map[string]wire.Job{},
 		where: map[ledger.Task]string{}, done: map[ledger.Task]bool{}, told: map[string]string{}, gone: map[string]time.Time{}, asked: map[string]bool{}, accepted: map[string]chan struct{}{}}
-	st := newStore(rand.New(rand.NewPCG(seed, 9)), w.broke)
-	cl := &cloud{w: w, asks: map[string][]string{}, hosts: map[string]wire.ListedHost{}, seen: map[string]time.Time{}, count: map[string]int{},
+	st = newStore(rand.New(rand.NewPCG(seed, 9)), w.broke)
+	cl = &cloud{w: w, most: most, asks: map[string][]string{}, hosts: map[string]wire.ListedHost{}, seen: map[string]time.Time{}, count: map[string]int{},
 		types: []wire.MachineType{{Label: "m", Cores: 8, RAM: 32, LocalGB: 20, PullRate: 1, Rate: 1, SpotPrice: 0.5, ReadyS: 3, Locales: []string{"a", "b"}}}}
 	var servers []*http.Server
 	for host, h := range map[string]http.Handler{"state": st, "cloud": cl} {
@@ -396,10 +393,47 @@
 		servers = append(servers, srv)
 		go srv.Serve(w.net.listen(host, host+":1"))
 	}
-	var cs [nodes]*node
+	cs = new([nodes]*node)
 	for n := range nodes {
 		cs[n] = w.boot(n)
 	}
+	return ctx, w, st, cl, cs, func() {
+		cancel()
+		for _, c := range cs {
+			c.kill()
+		}
+		st.outage(false)
+		w.net.end()
+		for _, srv := range servers {
+			srv.Close()
+		}
+		for _, c := range cs {
+			<-c.over
+		}
+		w.wg.Wait()
+		st.mu.Lock()
+		st.cond.Broadcast()
+		st.mu.Unlock()
+		for _, k := range w.workers {
+			k.mu.Lock()
+			for _, x := range k.tasks {
+				if x.timer != nil {
+					x.timer.Stop()
+				}
+			}
+			k.mu.Unlock()
+		}
+		time.Sleep(2 * lease) // what still sleeps or waits comes to its end
+	}
+}
+
+// play plays a day and returns the rules it broke. Faults are drawn from the
+// seed; after them there is time to recover. On a day with pipelines the
+// controllers first come back one by one knowing of lower limits, which then
+// come into force while jobs laid out before are on hand.
+func play(t testing.TB, seed uint64, piped bool, tamper func(*world)) (breaches []string, w *world) {
+	rnd := rand.New(rand.NewPCG(seed, 7))
+	ctx, w, st, cl, cs, stop := begin(t, seed, 24, 3)
 	for i := range 14 {
 		j := wire.Job{Ref: fmt.Sprintf("req-%06d", i), Class: "c", Owner: []string{"a", "b"}[i%2], Shape: wire.Batch, Rank: "standard",
 			Members: 1 + rnd.IntN(8), Cores: float64(1 + rnd.IntN(3)), RAM: 2, Bundle: "img", Loaners: i%3 == 0, ExpectS: float64(3 + rnd.IntN(20))}
@@ -497,31 +531,6 @@
 	}
 	time.Sleep(150 * time.Second)
 	stop()
-	for _, c := range cs {
-		c.kill()
-	}
-	st.outage(false)
-	w.net.end()
-	for _, srv := range servers {
-		srv.Close()
-	}
-	for _, c := range cs {
-		<-c.over
-	}
-	w.wg.Wait()
-	st.mu.Lock()
-	st.cond.Broadcast()
-	st.mu.Unlock()
-	for _, k := range w.workers {
-		k.mu.Lock()
-		for _, x := range k.tasks {
-			if x.timer != nil {
-				x.timer.Stop()
-			}
-		}
-		k.mu.Unlock()
-	}
-	time.Sleep(2 * lease) // what still sleeps or waits comes to its end
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.breaches, w
@@ -589,3 +598,45 @@
 		}
 	})
 }
+
+// With hundreds of machines the rules hold through a takeover, and what is
+// written stays in proportion to the tasks: claims and finishes of many tasks
+// share a change.
+func TestManyHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, w, st, cl, cs, end := begin(t, 3, 1200, 100)
+		const jobs, members = 12, 150
+		for i := range jobs {
+			w.submit(ctx, wire.Job{Ref: fmt.Sprintf("req-%06d", i), Class: "c", Owner: "ab"[i%2 : i%2+1], Shape: wire.Batch, Rank: "standard",
+				Members: members, Cores: 2, RAM: 2, Bundle: "img", Loaners: true, ExpectS: float64(10 + i)}, time.Duration(20+i)*time.Second, 0)
+		}
+		time.Sleep(35 * time.Second)
+		leader := 0
+		for n := range nodes {
+			if l := st.get("lead"); strings.Contains(l, fmt.Sprintf("host-%d", n)) {
+				leader = n
+			}
+		}
+		cs[leader].crash()
+		time.Sleep(8 * time.Second)
+		cs[leader] = w.boot(leader)
+		time.Sleep(200 * time.Second)
+		end()
+		for _, b := range w.breaches {
+			t.Error(b)
+		}
+		for ref := range w.jobs {
+			if w.told[ref] != wire.Done {
+				t.Errorf("%s is %q", ref, w.told[ref])
+			}
+		}
+		if n := len(cl.asks); len(w.workers) < 200 {
+			t.Errorf("%d machines, %d requests for them", len(w.workers), n)
+		}
+		if n := len(st.log); n > jobs*members/2 {
+			t.Errorf("%d changes for %d tasks", n, jobs*members)
+		} else {
+			t.Logf("%d machines, %d changes for %d tasks", len(w.workers), n, jobs*members)
+		}
+	})
+}
