--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -64,7 +64,8 @@
 	rooms := r.rooms(now)
 	n := r.gangs(queues, rooms, now)
 	r.hold(queues, rooms, now)
-	offers := r.offers(queues, rooms, now)
+	look := newSurvey(rooms)
+	offers := r.offers(queues, rooms, look, now)
 	r.mu.Unlock()
 
 	picks := r.ask(ctx, offers)
@@ -97,7 +98,7 @@
 	if !passed {
 		r.preempt(queues, now)
 	}
-	return n > 0 && passed
+	return n > 0 && (passed || look.more)
 }
 
 // ask has the owners pick, all at once. An owner that does not answer soon has
@@ -126,8 +127,7 @@
 
 // offers makes the offer for each part: its rooms that something fits, and the
 // types that wait.
-func (r *reign) offers(queues []*queue, rooms []*room, now time.Time) map[string]*placement.Offer {
-	look := newSurvey(rooms)
+func (r *reign) offers(queues []*queue, rooms []*room, look *survey, now time.Time) map[string]*placement.Offer {
 	var qs []placement.Queue
 	var jobs []*ledger.Job
 	for _, q := range queues {
@@ -189,6 +189,7 @@
 	rooms []*room
 	zones []string
 	warm  map[string][]*room // rooms that have an image
+	more  bool               // some waiting tasks were left out
 }
 
 func newSurvey(rooms []*room) *survey {
@@ -247,8 +248,14 @@
 		Avoid: slices.Sorted(maps.Keys(j.FailedOn)),
 	}
 	w.Within = r.within(j)
-	if s.Loaners && r.bound(j) && look.firm(j) >= 2*w.Tasks {
-		w.Loaners = false
+	if s.Loaners && r.bound(j) {
+		// As many as half the firm room holds go there; what is left is
+		// offered anew, until that is too few to be worth a pass.
+		if n := look.firm(j) / 2; n > w.Tasks/8 {
+			w.Loaners = false
+			look.more = look.more || n < w.Tasks
+			w.Tasks = min(w.Tasks, n)
+		}
 	}
 	if w.Standing {
 		for _, m := range look.warm[s.Bundle] {
