--- a/internal/control/chain.go
+++ b/internal/control/chain.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rillflow/internal/lead"
@@ -45,14 +47,20 @@
 	r.mu.Unlock()
 	slots := make(chan struct{}, lookups)
 	var wg sync.WaitGroup
+	var refused atomic.Bool
 	for _, ref := range refs {
 		slots <- struct{}{}
+		if refused.Load() {
+			break // the rest is for the next round: others need the budget too
+		}
 		wg.Go(func() {
 			defer func() { <-slots }()
 			it, err := r.st.Get(ctx, ledger.EndedKey(ref))
 			if err != nil {
-				// Not found: it is live, and the watch has yet to tell. Any
-				// other error: asked again with the next round.
+				// Not found: it is live, and the watch has yet to tell.
+				if !errors.Is(err, state.ErrNotFound) {
+					refused.Store(true)
+				}
 				return
 			}
 			var e ledger.Ending
