--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -37,7 +37,7 @@
 	return slices.ContainsFunc(l.dirty, l.urgent)
 }
 
-func (l *Ledger) urgent(d dirtyChunk) bool { return l.rankOf(d) <= rankClaim }
+func (l *Ledger) urgent(d dirtyChunk) bool { return l.rankOf(d) <= rankEnd }
 
 // claiming tells whether a chunk has claims to be written, without which their
 // tasks cannot start.
@@ -57,8 +57,8 @@
 
 // Next makes a batch, or nil when nothing needs writing. Until Committed or
 // Failed is called with it, no other batch may be made. The ends of jobs that
-// others wait for go first, then other ends, then claims, then finishes, then
-// the tidying of jobs that are over.
+// others wait for go first, then claims, then other ends, then finishes, then the
+// tidying of jobs that are over.
 func (l *Ledger) Next(lim Limits, now time.Time) *Batch {
 	l.writes++
 	size := lim.Bytes
@@ -140,8 +140,8 @@
 // Ranks of what is to be written.
 const (
 	rankNeeded = iota // the end of a job that others wait for
-	rankEnd
 	rankClaim
+	rankEnd
 	rankFinish
 	rankTidy
 )
@@ -152,10 +152,10 @@
 		return rankTidy
 	case d.job.Finished && len(l.needers[d.job.Ref]) > 0:
 		return rankNeeded
-	case d.job.Finished:
-		return rankEnd
 	case l.claiming(d):
 		return rankClaim
+	case d.job.Finished:
+		return rankEnd
 	}
 	return rankFinish
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -471,7 +471,7 @@
 }
 
 // What others wait for is written first, and alone while the budget is short:
-// the end of a needed job, then other ends and claims, then plain finishes.
+// the end of a needed job, then claims, then other ends, then plain finishes.
 func TestOrderOfWrites(t *testing.T) {
 	l := graph("1", "2", "3 1")
 	l.Add("req-4", Record{Job: wire.Job{Owner: "b", Shape: wire.Batch, Members: 3, Cores: 1}, Chunk: 4}, 9)
@@ -487,6 +487,10 @@
 	for _, ref := range []string{"req-4", "req-2", "req-1"} {
 		l.Finish(held[ref])
 	}
+	l.Add("req-5", job("b", wire.Batch, 1, 1), 12)
+	if _, err := l.Claim(l.Job("req-5"), "h", 1, "x"); err != nil {
+		t.Fatal(err)
+	}
 	var got []string
 	lim := limits(3)
 	for lim.Urgent = true; l.Urgent(); {
@@ -494,8 +498,8 @@
 		got = append(got, b.Refs()...)
 		l.Committed(b, 11)
 	}
-	if fmt.Sprint(got) != "[req-1 req-2]" {
-		t.Errorf("written %v, want the needed job's end, the other's, and no plain finish", got)
+	if fmt.Sprint(got) != "[req-1 req-5 req-2]" {
+		t.Errorf("written %v, want the needed job's end, the claim, the other end, and no plain finish", got)
 	}
 	if b := l.Next(limits(3), now); b == nil || b.Refs()[0] != "req-4" {
 		t.Error("the finish is not written in the end")
