--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -30,16 +30,19 @@
 	}}}},
 }
 
-func TestRoundTrips(t *testing.T) {
-	ping := Ping{Node: "n", Epoch: 9, Leader: "m", Parts: []string{"m", "n"}, StateAge: time.Minute}
-	answer := BeatAnswer{
+var (
+	ping   = Ping{Node: "n", Epoch: 9, Leader: "m", Parts: []string{"m", "n"}, StateAge: time.Minute}
+	answer = BeatAnswer{
 		OK: true, Orders: wire.Orders{Epoch: 4, Orders: []wire.Order{{Verb: "stop", Member: "req-1/0", Try: 2, Wind: 1.5}}},
 		Learned: []agent.Finish{{Type: "t", Flavor: "big", Run: time.Hour}},
 	}
-	picks := []placement.Picked{{Host: "i-1", Ref: "req-1", Tier: 2, Cost: -0.5, Weight: 8}}
-	user := UserRequest{Method: "POST", Path: "/v1/jobs", Body: []byte("{}")}
-	useranswer := UserAnswer{Status: 503, RetryAfter: "1", Body: []byte("x")}
-	counts := Counts{Known: true, Done: 3, Running: 4}
+	picks      = []placement.Picked{{Host: "i-1", Ref: "req-1", Tier: 2, Cost: -0.5, Weight: 8}}
+	user       = UserRequest{Method: "POST", Path: "/v1/jobs", Body: []byte("{}")}
+	useranswer = UserAnswer{Status: 503, RetryAfter: "1", Body: []byte("x")}
+	counts     = Counts{Known: true, Done: 3, Running: 4}
+)
+
+func TestRoundTrips(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
 		in     any
--- a/internal/peer/compat_test.go
+++ b/internal/peer/compat_test.go
@@ -13,7 +13,6 @@
 	"testing/synctest"
 	"time"
 
-	"rillflow/internal/agent"
 	"rillflow/internal/placement"
 	"rillflow/internal/settings"
 	"rillflow/internal/wire"
@@ -28,15 +27,6 @@
 	q.Jobs = append([]placement.Waiting(nil), q.Jobs...)
 	q.Jobs[0].Zones = map[string]int{"a": 1} // a map has no order to compare
 	one.Queues = []placement.Queue{q}
-	ping := Ping{Node: "n", Epoch: 9, Leader: "m", Parts: []string{"m", "n"}, StateAge: time.Minute}
-	answer := BeatAnswer{
-		OK: true, Orders: wire.Orders{Epoch: 4, Orders: []wire.Order{{Verb: "stop", Member: "req-1/0", Try: 2, Wind: 1.5}}},
-		Learned: []agent.Finish{{Type: "t", Flavor: "big", Run: time.Hour}},
-	}
-	picks := []placement.Picked{{Host: "i-1", Ref: "req-1", Tier: 2, Cost: -0.5, Weight: 8}}
-	user := UserRequest{Method: "POST", Path: "/v1/jobs", Body: []byte("{}")}
-	useranswer := UserAnswer{Status: 503, RetryAfter: "1", Body: []byte("x")}
-	counts := Counts{Known: true, Done: 3, Running: 4}
 	for _, tc := range []struct {
 		name   string
 		kind   kind
