--- a/internal/control/chain_test.go
+++ b/internal/control/chain_test.go
@@ -193,3 +193,34 @@
 		})
 	}
 }
+
+// A machine that the cloud had announced to take is returned sooner once silent
+// than one that nobody expected to go, and never while it is heard.
+func TestSilentAfterNotice(t *testing.T) {
+	report := 3 * time.Second
+	for _, tc := range []struct {
+		name   string
+		warn   time.Duration // the notice runs out this long ago; 0: there was none
+		silent time.Duration
+		gone   bool
+	}{
+		{"no notice", 0, 2 * report, false},
+		{"no notice, silent for long", 0, 3 * report, true},
+		{"its time is over", report, 2 * report, true},
+		{"its time is over, but it is heard", report, report, false},
+		{"its time is still to come", -report, 2 * report, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := term(t)
+			r.began = now.Add(-time.Hour)
+			h := r.hosts["h0"]
+			h.Heard = now.Add(-tc.silent)
+			if tc.warn != 0 {
+				h.WarnAt = now.Add(-tc.warn)
+			}
+			if got := r.faulty(now); (len(got) == 1) != tc.gone {
+				t.Errorf("to be returned: %v", got)
+			}
+		})
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -91,6 +91,7 @@
 	began  time.Time
 	heard  time.Time // last beat of any host
 	took   *latencies
+	tidied time.Time // when what nothing waits for was last written, or could have been
 }
 
 // Serve is one term.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -12,6 +12,7 @@
 	"rillflow/internal/fleet"
 	"rillflow/internal/ledger"
 	"rillflow/internal/settings"
+	"rillflow/internal/state"
 	"rillflow/internal/wire"
 )
 
@@ -248,3 +249,44 @@
 		})
 	}
 }
+
+// Where something urgent is always to be written, the rest still has its turn.
+func TestIdleWritesHaveTheirTurn(t *testing.T) {
+	r := term(t)
+	at := now
+	r.now = func() time.Time { return at }
+	r.set.Facts.State = settings.State{WriteRPS: 1000, TxnOps: 4, ValueKB: 16}
+	r.st = state.New(state.Options{RPS: 1000, Limits: state.Limits{WriteRPS: 1000, Value: 16 << 10}})
+	old := r.add("req-1", wire.Job{Shape: wire.Batch, Members: 9, Cores: 1})
+	claim := func(j *ledger.Job) *ledger.Held {
+		c, err := r.led.Claim(j, "h0", 1, "a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	c := claim(old)
+	commit := func() []string {
+		b, wait := r.batch()
+		if wait > 0 || b == nil {
+			t.Fatalf("no batch, wait %v", wait)
+		}
+		r.led.Committed(b, 5)
+		return b.Refs()
+	}
+	commit()
+	r.led.Finish(c)
+	first := 0
+	for i := range 20 {
+		j := r.add(fmt.Sprint("req-1", i), wire.Job{Shape: wire.Batch, Members: 1, Cores: 0.1})
+		claim(j)
+		at = at.Add(r.set.Report() / 8)
+		if refs := commit(); refs[0] == "req-1" {
+			first = i
+			break
+		}
+	}
+	if first == 0 {
+		t.Error("a finish is never written, or before what is urgent")
+	}
+}
--- a/internal/control/flush.go
+++ b/internal/control/flush.go
@@ -75,17 +75,29 @@
 	if r.led.Empty() {
 		return nil, 0
 	}
+	now := r.now()
 	keep, urgent := keepIdle, r.led.Urgent()
 	if urgent {
 		keep = keepUrgent
+	} else {
+		r.tidied = now // all there is takes its turn
 	}
 	room, wait := r.st.WriteRoom(leastOps, keep)
 	if wait > 0 {
 		return nil, wait
 	}
-	return r.led.Next(ledger.Limits{
-		Ops: min(room, r.set.Facts.State.Least().TxnOps), Bytes: txnBytes, Value: r.st.Value(), Urgent: urgent,
-	}, r.now()), 0
+	lim := ledger.Limits{Ops: min(room, r.set.Facts.State.Least().TxnOps), Bytes: txnBytes, Value: r.st.Value(), Urgent: urgent}
+	if urgent && now.Sub(r.tidied) > r.set.Report()/2 {
+		// Where something is always urgent, the rest would never be written,
+		// and what is left of jobs that are over would add up.
+		r.tidied = now
+		lim.Urgent, lim.Idle = false, true
+		if b := r.led.Next(lim, now); b != nil {
+			return b, 0
+		}
+		lim.Urgent, lim.Idle = true, false
+	}
+	return r.led.Next(lim, now), 0
 }
 
 // until waits for room, or for something more urgent.
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -51,8 +51,8 @@
 	Ops   int // changes
 	Bytes int // of all values together
 	Value int // bytes of one value
-	// Urgent leaves out what nothing waits for.
-	Urgent bool
+	// Urgent leaves out what nothing waits for, Idle all else.
+	Urgent, Idle bool
 }
 
 // Next makes a batch, or nil when nothing needs writing. Until Committed or
@@ -77,7 +77,7 @@
 		if j.Finished && !guarded[j.Ref] {
 			need = 3
 		}
-		if len(b.Apply)+need > lim.Ops || size <= 0 || lim.Urgent && !l.urgent(d) {
+		if len(b.Apply)+need > lim.Ops || size <= 0 || lim.Urgent && !l.urgent(d) || lim.Idle && l.urgent(d) {
 			left = append(left, d)
 			continue
 		}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -491,6 +491,13 @@
 	if _, err := l.Claim(l.Job("req-5"), "h", 1, "x"); err != nil {
 		t.Fatal(err)
 	}
+	idle := limits(3)
+	idle.Idle = true
+	b := l.Next(idle, now)
+	if got := fmt.Sprint(b.Refs()); got != "[req-4]" {
+		t.Errorf("of what nothing waits for, %s is written", got)
+	}
+	l.Failed(b)
 	var got []string
 	lim := limits(3)
 	for lim.Urgent = true; l.Urgent(); {
