--- a/internal/agent/direct.go
+++ b/internal/agent/direct.go
@@ -26,10 +26,12 @@
 	timeout time.Duration
 }
 
-// NewDirect makes a sender that gives a worker so long to answer.
-func NewDirect(timeout time.Duration, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Direct {
+// NewDirect makes a sender that gives a worker so long to answer, and keeps so
+// many connections open between commands: with one for each of hundreds of
+// workers, a leader was seen to run out of sockets.
+func NewDirect(timeout time.Duration, idle int, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Direct {
 	return &Direct{timeout: timeout, http: &http.Client{Transport: &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2,
+		DialContext: dial, MaxIdleConns: max(1, idle), MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2,
 		IdleConnTimeout: time.Minute, DisableCompression: true,
 	}}}
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -70,7 +70,7 @@
 	d.mesh = peer.NewMesh(set.Members, d, set.Report()/6, int(op.Limits.Sockets*float64(facts.Resources.Sockets)/2), nw.Dial, log)
 	d.part.Link(d.mesh)
 	d.control = control.New(control.Deps{
-		Settings: set, State: d.st, Cloud: cloud, Direct: agent.NewDirect(set.Report(), nw.Dial), Elector: d.el,
+		Settings: set, State: d.st, Cloud: cloud, Direct: agent.NewDirect(set.Report(), int(idleWorkers*float64(facts.Resources.Sockets)), nw.Dial), Elector: d.el,
 		Types: types, Parts: d.part, Log: log,
 	})
 	mux := http.NewServeMux()
@@ -104,6 +104,10 @@
 	return g.Wait()
 }
 
+// idleWorkers is how many connections to workers are kept open unused, as a ratio
+// to the sockets: the front has most of those.
+const idleWorkers = 0.1
+
 // limits is what a controller may use of the state service at a time: nearly
 // all, for any may lead.
 func limits(s settings.State) state.Limits {
