--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -580,23 +581,52 @@
 	}
 }
 
-// The checks themselves can fail: a job that nobody submitted to the world, and
-// a task that is said to be elsewhere, are both found.
+// The checks themselves can fail: each finds what is made to look wrong.
 func TestChecksCanFail(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		breaches, _ := play(t, 1, false, func(w *world) {
+	// every changes what the world believes of each job, not what is submitted.
+	every := func(change func(w *world, ref string, j *wire.Job)) func(*world) {
+		return func(w *world) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			for ref, j := range w.jobs {
-				for i := range j.Members {
-					w.where[ledger.Task{Ref: ref, Index: i}] = "elsewhere"
-				}
+				change(w, ref, &j)
+				w.jobs[ref] = j
 			}
-		})
-		if len(breaches) == 0 {
-			t.Error("tasks that ran twice were not noticed")
 		}
-	})
+	}
+	for _, tc := range []struct {
+		rule   string
+		tamper func(*world)
+	}{
+		{"ran_twice", every(func(w *world, ref string, j *wire.Job) {
+			for i := range j.Members {
+				w.where[ledger.Task{Ref: ref, Index: i}] = "elsewhere"
+			}
+		})},
+		{"too_early", every(func(w *world, ref string, j *wire.Job) {
+			w.jobs["req-9"] = wire.Job{Ref: "req-9", Members: 1}
+			if ref != "req-9" {
+				j.Needs = []string{"req-9"}
+			}
+		})},
+		{"orphaned", every(func(w *world, ref string, j *wire.Job) {
+			w.jobs["req-9"] = wire.Job{Ref: "req-9"}
+			w.gone["req-9"] = time.Now().Add(-time.Hour)
+			if ref != "req-9" {
+				j.Needs = []string{"req-9"}
+			}
+		})},
+		{"quota", every(func(w *world, ref string, j *wire.Job) { j.Cores *= 20 })},
+	} {
+		t.Run(tc.rule, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				breaches, _ := play(t, 1, false, tc.tamper)
+				if !slices.ContainsFunc(breaches, func(b string) bool { return strings.HasPrefix(b, tc.rule) }) {
+					t.Errorf("not noticed among %d breaches", len(breaches))
+				}
+			})
+		})
+	}
 }
 
 // With hundreds of machines the rules hold through a takeover, and what is
