--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -32,12 +32,13 @@
 	log    *slog.Logger
 	now    func() time.Time
 	ended  *memory
+	batch  *memory // jobs seen accepted that are no services
 }
 
 // New makes the users' side. counts tells a live job's counts where known; down
 // whether the state service has not answered for long.
 func New(set *settings.Settings, st *state.Client, types *fleet.Catalogue, counts func(context.Context, string) (int, int, bool), down func() bool, log *slog.Logger) *Users {
-	return &Users{set: set, st: st, types: types, counts: counts, down: down, log: log, now: time.Now, ended: newMemory(4096)}
+	return &Users{set: set, st: st, types: types, counts: counts, down: down, log: log, now: time.Now, ended: newMemory(4096), batch: newMemory(4096)}
 }
 
 // again tells whether to ask the state service once more after an error. What
@@ -178,6 +179,9 @@
 			Apply:  []wire.Change{{Put: ledger.LiveKey(job.Ref), Data: data}},
 		})
 		if err == nil {
+			if len(failed) == 0 && job.Shape != wire.Standing {
+				u.batch.put(job.Ref, wire.Phase{})
+			}
 			return len(failed) == 0, nil, nil
 		}
 		if !u.again(ctx, err, try) {
--- a/internal/intake/needs.go
+++ b/internal/intake/needs.go
@@ -66,6 +66,9 @@
 	if p, ok := u.ended.get(ref); ok && p.Phase == wire.Done {
 		return false, nil, nil
 	}
+	if _, ok := u.batch.get(ref); ok {
+		return true, nil, nil // that it was accepted stays true; whether it is over, the leader sees
+	}
 	if u.down() {
 		return false, nil, state.ErrRefused
 	}
@@ -85,6 +88,9 @@
 		if err == nil && rec.Job.Shape == wire.Standing {
 			return false, service, nil
 		}
+		if err == nil {
+			u.batch.put(ref, wire.Phase{})
+		}
 		return true, nil, err
 	}
 	if !errors.Is(err, state.ErrNotFound) {
--- a/internal/intake/needs_test.go
+++ b/internal/intake/needs_test.go
@@ -192,6 +192,17 @@
 	if rec := submit(mux, "req-11", []string{"req-3"}, "", ""); rec.Code != 201 || k.gets != before {
 		t.Errorf("%d, %d reads", rec.Code, k.gets-before)
 	}
+	// So does naming one that was accepted here; a service is still told apart.
+	if rec := submit(mux, "req-12", []string{"req-10", "req-11"}, "", ""); rec.Code != 201 || k.gets != before || !strings.Contains(k.m["j/req-12"], `"waits_on":["req-10","req-11"]`) {
+		t.Errorf("%d, %d reads, %s", rec.Code, k.gets-before, k.m["j/req-12"])
+	}
+	if rec := submit(mux, "req-13", nil, `"members":16`, `"members":1`); rec.Code != 201 {
+		t.Fatal(rec.Code)
+	}
+	submit(mux, "req-14", nil, `"shape":"batch","rank":"urgent","members":16`, `"shape":"standing","rank":"urgent","members":2`)
+	if rec := submit(mux, "req-15", []string{"req-14"}, "", ""); rec.Code != 422 {
+		t.Errorf("a service named: %d", rec.Code)
+	}
 }
 
 // A submission too large to be stored under the announced limits is refused for
