Silence judged by zone, part and observer; cut zones kept alive; thrift by class

Cause: on the larger fleet mass silence was taken for mass death. A leader cut off from its workers returned 962 of them, a zone's cut cost 1,416 returns in ten seconds; a node cut off from workers kept its part. And one finished aim beside a deadline made a whole deployment spend as if money were no matter.

- internal/silence judges who is at fault (machine, wave, part, zone, observer); machines behind a cut are neither returned nor counted on for four leases, unless a withdrawn task there would outlive its time.
- A controller behind the same cut answers its zone's workers in place of owners out of reach (maps with near; 0.2 ignores the field and such maps of its own are not heeded).
Sole respects it.
- Nodes tell one another how they hear workers (a frame for 0.3 peers only); a deaf one gives up lead and part for a lease.
- Renting by class: Ample(class); firm room for half of any one zone's replicas.

--- a/internal/agent/host.go
+++ b/internal/agent/host.go
@@ -21,6 +21,7 @@
 	Tenure  uint64
 	Tick    uint64
 	Epoch   uint64    // highest the worker says it has seen
+	Shown   time.Time // when it first said so
 	Asked   time.Time // when it was rented
 	Running time.Time // when the list first showed it running
 	Heard   time.Time // last beat that was answered
@@ -38,9 +39,12 @@
 	Taint    uint64
 	InFlight bool
 
-	// Sole is the epoch since which this leader alone has answered the host;
-	// 0 while another node may.
+	// Sole is the epoch since which this leader alone may answer the host; 0
+	// while another node may.
 	Sole uint64
+	// Owner is the controller that answers the host, Moved when it became so.
+	Owner string
+	Moved time.Time
 	// Learned are finishes that the host's owner has yet to be told.
 	Learned []Finish
 
--- a/internal/control/chain_test.go
+++ b/internal/control/chain_test.go
@@ -124,6 +124,7 @@
 // A job that waits for others is in no queue, rents nothing and counts nowhere.
 func TestWaitingJobIsNoQueue(t *testing.T) {
 	r := term(t)
+	r.set.Operator.Fleet.Thrift = "always"
 	r.add("req-1", wire.Job{Class: "x", Shape: wire.Batch, Rank: "idle", Members: 1, Cores: 1})
 	r.add("req-2", wire.Job{Class: "x", Shape: wire.Batch, Rank: "idle", Members: 50, Cores: 1, Loaners: true, Needs: []string{"req-1"}})
 	if qs := r.queues(now); len(qs) != 1 || qs[0].count != 1 {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -20,6 +20,7 @@
 	"rillflow/internal/ledger"
 	"rillflow/internal/placement"
 	"rillflow/internal/settings"
+	"rillflow/internal/silence"
 	"rillflow/internal/state"
 	"rillflow/internal/wire"
 )
@@ -87,10 +88,12 @@
 	sorted []*agent.Host        // by name, for decisions that repeat
 	gone   map[string]time.Time // released, with when
 	rents  *fleet.Planner
+	ahead  map[string]bool // teams whose work is rented ahead for
 	listed map[string]wire.ListedHost
 	began  time.Time
 	heard  time.Time // last beat of any host
 	took   *latencies
+	quiet  *silence.Watch
 	tidied time.Time // when what nothing waits for was last written, or could have been
 }
 
@@ -106,7 +109,8 @@
 		listed: make(map[string]wire.ListedHost),
 		began:  c.now(),
 		took:   newLatencies(),
-		rents:  fleet.NewPlanner(c.set, term.First),
+		rents:  fleet.NewPlanner(c.set, term.First), ahead: make(map[string]bool),
+		quiet: newQuiet(c.set),
 	}
 	c.cur.Store(r)
 	defer c.cur.CompareAndSwap(r, nil)
@@ -257,6 +261,7 @@
 	for _, h := range r.led.HeldBy(j) {
 		hosts[h.Host] = true
 	}
+	j.WithdrawnAt = r.now()
 	r.led.Withdraw(ref)
 	for h := range hosts {
 		if host := r.hosts[h]; host != nil {
@@ -295,10 +300,16 @@
 	}
 }
 
-// own notes since which epoch this node has answered a host without a break.
+// own notes who answers a host, and since which epoch nobody but this node may:
+// it owns the host, and no other owner of a part is in the host's zone, where it
+// might stand in while the zone is cut off. Run it again once a host's zone is
+// known.
 func (r *reign) own(h *agent.Host, m lead.Map) {
+	if o := m.Owner(h.Name); o != h.Owner {
+		h.Owner, h.Moved = o, r.now()
+	}
 	switch {
-	case m.Owner(h.Name) != r.set.Node:
+	case h.Owner != r.set.Node || h.Zone == "" || r.set.Near(h.Zone, m.Parts):
 		h.Sole = 0
 	case h.Sole == 0:
 		h.Sole = m.Epoch
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -72,6 +72,14 @@
 	return h
 }
 
+// zoned notes a host's zone.
+func (r *reign) zoned(h *agent.Host, zone string) {
+	if h.Zone != zone {
+		h.Zone, h.Sole = zone, 0
+		r.own(h, r.term.Map())
+	}
+}
+
 // enter and leave keep the hosts and their order.
 func (r *reign) enter(h *agent.Host) {
 	r.hosts[h.Name] = h
@@ -101,8 +109,12 @@
 	now := r.now()
 	news := h.Stray || !r.usable(h, now) // it may be of use from now on
 	used := r.led.Used(h.Name)
-	h.Address, h.Flavor, h.Zone, h.Loaners = rep.Address, rep.Flavor, rep.Locale, rep.Loaners
-	h.Tick, h.Epoch = rep.Tick, max(h.Epoch, rep.Epoch)
+	h.Address, h.Flavor, h.Loaners = rep.Address, rep.Flavor, rep.Loaners
+	r.zoned(h, rep.Locale)
+	h.Tick = rep.Tick
+	if rep.Epoch > h.Epoch {
+		h.Epoch, h.Shown = rep.Epoch, now
+	}
 	if h.Epoch > h.Taint {
 		h.Taint = 0
 	}
--- /dev/null
+++ b/internal/control/quiet.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"time"
+
+	"rillflow/internal/agent"
+	"rillflow/internal/settings"
+	"rillflow/internal/silence"
+	"rillflow/internal/wire"
+)
+
+// missedReport is from which silence a machine has missed a report, as a ratio
+// to the interval, which varies by a quarter.
+const missedReport = 1.3
+
+func newQuiet(set *settings.Settings) *silence.Watch {
+	return silence.NewWatch(time.Duration(missedReport*float64(set.Report())), set.Lease())
+}
+
+// quietFor is for how long a host that should be heard was not. It has had no way
+// to be heard before this term began, its boot was over, or its owner took over.
+func (r *reign) quietFor(h *agent.Host, now time.Time) time.Duration {
+	last := r.began
+	for _, t := range []time.Time{h.Lately(), h.Running, h.Moved} {
+		if t.After(last) {
+			last = t
+		}
+	}
+	return now.Sub(last)
+}
+
+// listen judges who is at fault for what is not heard.
+func (r *reign) listen(now time.Time) {
+	hosts := make([]silence.Host, 0, len(r.sorted))
+	for _, h := range r.sorted {
+		if _, leaving := r.gone[h.Name]; leaving || r.listed[h.Name].Phase == wire.HostFailed || h.Heard.IsZero() && h.Running.IsZero() {
+			continue
+		}
+		hosts = append(hosts, r.voice(h, now))
+	}
+	before := len(r.quiet.Groups())
+	r.quiet.Look(hosts, now)
+	if gs := r.quiet.Groups(); len(gs) != before {
+		for _, g := range gs {
+			r.log.Info("silence", "fault", g.Fault, "name", g.Name, "since_s", now.Sub(g.Since).Seconds(), "still", g.Silent)
+		}
+	}
+}
+
+func (r *reign) voice(h *agent.Host, now time.Time) silence.Host {
+	return silence.Host{Zone: h.Zone, Owner: h.Owner, Loaners: h.Loaners, Quiet: r.quietFor(h, now)}
+}
+
+// cutOff tells whether a silent host is more likely behind a cut than dead: it is
+// neither returned nor counted on until that has lasted for longer than cuts do.
+func (r *reign) cutOff(h *agent.Host, now time.Time) bool {
+	if r.quietFor(h, now) <= time.Duration(missedReport*float64(r.set.Report())) {
+		return false
+	}
+	fault, since := r.quiet.Fault(r.voice(h, now))
+	return fault >= silence.Part && now.Sub(since) < time.Duration(r.set.Operator.Fleet.Patience*float64(r.set.Lease()))
+}
+
+// outlives tells whether a withdrawn task on a silent host might still be there
+// when it must be gone. A controller behind the same cut may answer the worker all
+// the while, and knows of no withdrawal: then only the machine's return ends it.
+func (r *reign) outlives(h *agent.Host, now time.Time) bool {
+	grace := settings.Seconds(r.set.Facts.Workers.CancelS) - 2*r.set.Report()
+	for _, c := range r.led.OnHost(h.Name) {
+		if c.Job.Withdrawn && !c.Over && now.Sub(c.Job.WithdrawnAt) > grace {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -44,13 +44,15 @@
 	}
 }
 
-// expire frees the claims of hosts whose lease is surely over: the worker had
-// seen an epoch since which nobody else may answer it, and it was last answered
-// more than a lease ago by the slowest of clocks.
+// expire frees the claims of hosts whose lease is surely over: the worker has
+// shown an epoch since which nobody else may answer it, and both that and its last
+// answer are more than a lease ago by the slowest of clocks. Until it showed the
+// epoch, another may have renewed its lease under an earlier one: an owner behind
+// the same cut does, and a poll right after the cut brings the epoch.
 func (r *reign) expire(now time.Time) {
 	over := r.set.Lease() + r.set.Lease()/500 + r.set.Report()/3
 	for _, h := range r.hosts {
-		if h.Heard.IsZero() || h.Sole == 0 || h.Epoch < h.Sole || now.Sub(h.Heard) < over {
+		if h.Heard.IsZero() || h.Sole == 0 || h.Epoch < h.Sole || now.Sub(h.Heard) < over || now.Sub(h.Shown) < over {
 			continue
 		}
 		for _, c := range r.led.OnHost(h.Name) {
@@ -74,8 +76,7 @@
 			up++
 		}
 	}
-	quiet := 3 * r.set.Report()
-	return up >= 4 && now.Sub(r.heard) > quiet
+	return up >= 4 && now.Sub(r.heard) > 2*r.set.Report()
 }
 
 // strangers are hosts that are up but have not come to this leader yet, stay
@@ -91,7 +92,8 @@
 			!h.Heard.IsZero() && now.Sub(h.Heard) > 3*r.set.Report()/2
 		if strange && !h.Polling && len(hs) < 16 {
 			h.Polling = true
-			h.Address, h.Flavor, h.Zone, h.Loaners = l.Address, l.Flavor, l.Locale, l.Loaners
+			h.Address, h.Flavor, h.Loaners = l.Address, l.Flavor, l.Loaners
+			r.zoned(h, l.Locale)
 			hs = append(hs, h)
 		}
 	}
@@ -300,7 +302,8 @@
 			r.listed[n] = wire.ListedHost{Ref: n, Flavor: q.Flavor, Locale: q.Locale, Loaners: q.Loaners, Phase: wire.HostStarting}
 		}
 		h := r.host(n)
-		h.Flavor, h.Zone, h.Loaners = q.Flavor, q.Locale, q.Loaners
+		h.Flavor, h.Loaners = q.Flavor, q.Loaners
+		r.zoned(h, q.Locale)
 		h.Asked = now
 	}
 }
@@ -352,7 +355,8 @@
 			h.Asked = now.Add(-time.Duration(l.HeldS * float64(time.Second)))
 		}
 		if h.Heard.IsZero() {
-			h.Flavor, h.Zone, h.Loaners = l.Flavor, l.Locale, l.Loaners
+			h.Flavor, h.Loaners = l.Flavor, l.Loaners
+			r.zoned(h, l.Locale)
 		}
 		if l.Phase == wire.Running && h.Running.IsZero() {
 			h.Running = now
@@ -370,8 +374,8 @@
 func (r *reign) faulty(now time.Time) []string {
 	silence := time.Duration(r.set.Operator.Fleet.Silence * float64(r.set.Report()))
 	types := r.types.Types()
+	r.listen(now)
 	var out []string
-	silent := 0
 	for _, h := range r.sorted {
 		why := ""
 		l, listed := r.listed[h.Name]
@@ -383,13 +387,15 @@
 			why = "again" // its release was not answered
 		case listed && l.Phase == wire.HostFailed:
 			why = "failed"
-		case !h.Heard.IsZero() && now.Sub(h.Lately()) > silence,
+		case r.cutOff(h, now):
+			if r.outlives(h, now) {
+				why = "withdrawn task"
+			}
+		case (!h.Heard.IsZero() || !h.Running.IsZero()) && r.quietFor(h, now) > silence,
 			// The cloud said it would take it: there is less to doubt.
-			!h.WarnAt.IsZero() && now.After(h.WarnAt) && now.Sub(h.Lately()) > 3*r.set.Report()/2,
-			h.Heard.IsZero() && now.Sub(r.began) > silence && !h.Running.IsZero() && now.Sub(h.Running) > silence && now.Sub(h.Polled) > silence,
+			!h.WarnAt.IsZero() && now.After(h.WarnAt) && r.quietFor(h, now) > 3*r.set.Report()/2,
 			h.Heard.IsZero() && !listed && len(claims) > 0 && now.Sub(r.began) > r.set.Lease():
 			why = "silent"
-			silent++
 		case h.Heard.IsZero() && h.Running.IsZero() && listed && l.Phase == wire.HostStarting && len(claims) == 0 &&
 			t != nil && !h.Asked.IsZero() && now.Sub(h.Asked) > 4*time.Duration(t.ReadyS*float64(time.Second)):
 			why = "never up"
@@ -409,14 +415,6 @@
 		}
 		out = append(out, h.Name)
 	}
-	// Many falling silent at once is more likely the network than the
-	// machines: their tasks run on, so they are given their lease.
-	if silent > 2 && silent*2 > len(r.hosts) && now.Sub(r.heard) < r.set.Lease() {
-		return slices.DeleteFunc(out, func(n string) bool {
-			h := r.hosts[n]
-			return now.Sub(h.Heard) < 2*r.set.Lease()
-		})
-	}
 	return out
 }
 
@@ -448,7 +446,7 @@
 		m := fleet.Machine{
 			Name: h.Name, Flavor: h.Flavor, Zone: h.Zone, Loaners: h.Loaners,
 			Up: !h.Heard.IsZero(), Booting: h.Heard.IsZero() && h.Running.IsZero(), Leaving: leaving || !h.WarnAt.IsZero() || r.badHost(h),
-			Draining: h.Draining, Asked: h.Asked,
+			Draining: h.Draining, Asked: h.Asked, CutOff: r.cutOff(h, now),
 			Movable: func() bool {
 				if rooms == nil {
 					rooms = r.rooms(now)
@@ -498,6 +496,20 @@
 func (r *reign) need(now time.Time) fleet.Need {
 	var n fleet.Need
 	seen := make(map[string]int)
+	cut := make(map[*ledger.Job]int)
+	for _, h := range r.sorted {
+		if !r.cutOff(h, now) {
+			continue
+		}
+		for _, c := range r.led.OnHost(h.Name) {
+			cut[c.Job]++
+		}
+	}
+	for _, j := range r.led.Jobs() {
+		if !j.Withdrawn && !j.Finished && j.Ready() && r.set.Ample(j.Spec.Class) {
+			r.ahead[j.Spec.Owner] = true
+		}
+	}
 	passing, paced := make(map[string]float64), make(map[string]float64)
 	for _, j := range r.led.Jobs() {
 		if j.Withdrawn || j.Finished || !j.Ready() {
@@ -505,11 +517,14 @@
 		}
 		s := &j.Spec
 		cores := s.Cores * float64(j.Unfinished())
-		if s.Loaners {
+		switch {
+		case r.ahead[s.Owner]: // up to the team's limit, whatever is on hand
+		case s.Loaners:
+			cores -= s.Cores * float64(cut[j]) // it cannot run elsewhere as yet
 			passing[s.Owner] += cores
 			paced[s.Owner] += cores * r.pace(j, now)
 			n.Queue += s.Cores * float64(min(j.WaitingTasks(), r.led.Headroom(j)))
-		} else {
+		default:
 			n.Steady += cores
 			n.SteadyJobs++
 			if s.Scatter {
@@ -526,6 +541,9 @@
 		}
 		n.Tasks[k].Weight += cores
 	}
+	for team := range r.ahead {
+		n.Ahead += r.led.Team(team).CPUsMax
+	}
 	for team, cores := range passing {
 		n.Passing += min(cores, r.led.Team(team).CPUsMax)
 		n.Paced += min(paced[team], r.led.Team(team).CPUsMax)
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -22,6 +22,7 @@
 	Booting bool      // neither does it, nor is it listed as running
 	Idle    time.Time // since when nothing is on it; zero: busy or not up
 	Leaving bool      // it is to go whatever the need
+	CutOff  bool      // it is behind a cut: not counted on, but not returned
 
 	Asked    time.Time // when it was rented, as far as is known
 	Draining bool      // it takes no new tasks, and goes once empty
@@ -42,6 +43,7 @@
 	Largest    float64 // the largest service on hand: the next one may be like it
 	Spread     float64 // what the largest one that is spread may not have in one zone
 	SteadyJobs int
+	Ahead      float64 // limits of the teams whose work is rented ahead for
 	Tasks      []Shape // shapes of tasks on hand
 }
 
@@ -151,7 +153,8 @@
 
 // Plan decides what to rent and what to return.
 func (p *Planner) Plan(types map[string]*wire.MachineType, ms []Machine, need Need, now time.Time) Plan {
-	if p.set.Frugal() {
+	ms = slices.DeleteFunc(slices.Clone(ms), func(m Machine) bool { return m.CutOff })
+	if need.Ahead == 0 && p.set.Frugal() {
 		return p.frugal(types, ms, need, now)
 	}
 	plan := Plan{Rents: p.ample(types, ms, need, now)}
@@ -199,13 +202,10 @@
 	return os
 }
 
-// ample rents ahead of need, up to what the teams may ever use: nobody prices
-// it.
+// ample rents ahead of need, up to what the teams may ever use whose work is
+// worth it, and for the rest of the work on hand.
 func (p *Planner) ample(types map[string]*wire.MachineType, ms []Machine, need Need, now time.Time) []wire.Rent {
-	limit := 0.0
-	for _, t := range p.set.Facts.Teams {
-		limit += t.CPUsMax
-	}
+	limit := need.Ahead + (need.Steady+need.Passing)*(1+p.set.Operator.Fleet.Spare)
 	for _, m := range ms {
 		if t := types[m.Flavor]; t != nil && !m.Leaving {
 			limit -= t.Cores
@@ -239,7 +239,8 @@
 
 	var firm, spot, ebbing float64
 	perZone := make(map[string]float64)
-	free := make(zones) // firm room that replicas could have
+	free := make(zones)  // firm room that replicas could have
+	taken := make(zones) // what they have
 	draining := 0
 	for _, m := range ms {
 		t := types[m.Flavor]
@@ -260,6 +261,7 @@
 			firm += t.Cores
 			perZone[m.Zone] += t.Cores
 			free[m.Zone] += t.Cores - m.Taken
+			taken[m.Zone] += m.Taken
 		}
 	}
 
@@ -279,6 +281,11 @@
 		plan.Rents = p.fill(plan.Rents, os, types, need.Spread-second, false)
 		plan.Keep = len(os) > 0
 	}
+	if zone, lack := p.exposed(taken, free); lack > 0 {
+		os := slices.DeleteFunc(p.offers(types, false, need, now), func(o offer) bool { return o.zone == zone })
+		plan.Rents = p.fill(plan.Rents, os, types, lack, false)
+		plan.Keep = plan.Keep || len(os) > 0
+	}
 	if lack := passing - room; lack > 0 {
 		os := p.offers(types, true, need, now)
 		if len(os) > 0 {
@@ -314,6 +321,7 @@
 		t := types[m.Flavor]
 		idle := p.idle(m, t, now)
 		if firm+spot-t.Cores < steady+ebb || !m.Loaners && (firm-t.Cores < steady || free.without(m.Zone, t.Cores) < need.Spread) ||
+			!m.Loaners && p.bares(taken, free, m, t.Cores) ||
 			!idle && (draining >= few || now.Sub(m.Asked) < 3*settings.Seconds(t.ReadyS) || m.Replicas > 0 && !m.Movable()) {
 			continue
 		}
@@ -333,6 +341,31 @@
 	return plan
 }
 
+// exposed is the zone whose loss would leave the most replicas without room, and
+// how much they would lack. What passes on firm machines gives its room to them,
+// so that the room kept for a zone is not idle.
+func (p *Planner) exposed(taken, free zones) (zone string, lack float64) {
+	total := 0.0
+	for _, f := range free {
+		total += f
+	}
+	for _, z := range slices.Sorted(maps.Keys(taken)) {
+		if l := p.set.Operator.Fleet.Headroom*taken[z] - (total - free[z]); l > lack {
+			zone, lack = z, l
+		}
+	}
+	return zone, lack
+}
+
+// bares tells whether the loss of a zone would leave replicas without room once a
+// machine is gone, its own replicas moved to others.
+func (p *Planner) bares(taken, free zones, m Machine, cores float64) bool {
+	free[m.Zone] -= cores
+	_, lack := p.exposed(taken, free)
+	free[m.Zone] += cores
+	return lack > 0
+}
+
 // zones are amounts by zone.
 type zones map[string]float64
 
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -35,6 +35,10 @@
 	Epoch  uint64   `json:"n"`
 	Leader string   `json:"leader"`
 	Parts  []string `json:"parts"`
+	// Near says that whoever wrote the map reckons with any node in Parts
+	// answering the hosts of its own zone, whoever owns them. Versions before
+	// 0.3 neither write nor heed it; nor does a ping carry it.
+	Near bool `json:"near,omitempty"`
 }
 
 // Owner is the node that answers a host's reports, by rendezvous hashing: when
@@ -125,7 +129,7 @@
 // given, so that workers that see it refuse whatever was sent before.
 func (t *Term) Raise(ctx context.Context, parts []string) error {
 	t.mu.Lock()
-	next, stamp := Map{t.now.Epoch + 1, t.now.Leader, parts}, t.epochStamp
+	next, stamp := Map{Epoch: t.now.Epoch + 1, Leader: t.now.Leader, Parts: parts, Near: true}, t.epochStamp
 	t.mu.Unlock()
 	data, err := json.Marshal(next)
 	if err != nil {
@@ -192,6 +196,9 @@
 func (e *Elector) Learn(m Map) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if m.Epoch == e.known.Epoch && m.Near {
+		e.known.Near = true // a ping brought the rest first
+	}
 	if m.Epoch > e.known.Epoch {
 		e.known = m
 		e.log.Info("part map", "epoch", m.Epoch, "leader", m.Leader, "parts", m.Parts)
@@ -337,7 +344,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	next := Map{Epoch: ev.Epoch + 1, Leader: e.node, Parts: e.parts()}
+	next := Map{Epoch: ev.Epoch + 1, Leader: e.node, Parts: e.parts(), Near: true}
 	lv, err1 := json.Marshal(leaderValue{e.node, next.Epoch})
 	nv, err2 := json.Marshal(next)
 	if err := errors.Join(err1, err2); err != nil {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -59,7 +59,10 @@
 	Spec      wire.Job
 	At        time.Time // when it was submitted
 	Withdrawn bool
-	Finished  bool // all tasks done; not yet durable
+	// WithdrawnAt is when its user may first have been told that it is; the
+	// caller sets it for jobs withdrawn later. Zero: not known.
+	WithdrawnAt time.Time
+	Finished    bool // all tasks done; not yet durable
 
 	size    int // tasks per chunk
 	stamp   uint64
@@ -571,6 +574,9 @@
 	}
 	j := l.Add(ref, Record{Job: e.Job, Chunk: e.Chunk}, 0)
 	j.Withdrawn = true
+	if e.AtMS > 0 {
+		j.WithdrawnAt = time.UnixMilli(e.AtMS)
+	}
 	j.over = e.Phase == wire.Done
 	return nil
 }
--- /dev/null
+++ b/internal/part/deaf_test.go
@@ -0,0 +1,107 @@
+package part
+
+import (
+	"testing"
+	"time"
+
+	"rillflow/internal/lead"
+	"rillflow/internal/peer"
+	"rillflow/internal/wire"
+)
+
+// A node that workers no longer reach finds out by its peers, and only if it
+// should be reached; it is believed for a lease, twice as long the next time.
+func TestDeaf(t *testing.T) {
+	const report, lease = 4 * time.Second, 40 * time.Second
+	for _, tc := range []struct {
+		name    string
+		beats   int // in the lease before
+		quiet   time.Duration
+		owner   bool
+		peer    peer.Hearing
+		live    bool
+		want    bool
+		relapse bool // and again after its rest
+	}{
+		{"all is well", 100, report, true, peer.Hearing{}, true, false, false},
+		{"cut off from workers", 100, 2 * report, true, peer.Hearing{}, true, true, true},
+		{"so are all: the workers are gone", 100, 2 * report, true, peer.Hearing{Age: 2 * report}, true, false, false},
+		{"no peer to compare with", 100, 2 * report, true, peer.Hearing{}, false, false, false},
+		{"nobody reports here", 100, 2 * report, false, peer.Hearing{}, true, false, false},
+		{"too few to tell", 8, 2 * report, true, peer.Hearing{}, true, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			at := now
+			m := lead.Map{Epoch: 3, Leader: "a", Parts: []string{"a"}}
+			if tc.owner {
+				m.Parts = append(m.Parts, "me")
+			}
+			p := part(t, m, 0, &links{peers: map[string]peer.Status{"a": {Live: tc.live, HearingKnown: true, Hearing: tc.peer}}})
+			p.now = func() time.Time { return at }
+			p.Hearing()
+			for range tc.beats {
+				p.Heard()
+			}
+			at = at.Add(tc.quiet)
+			if got := p.Deaf(); got != tc.want {
+				t.Fatalf("deaf: %v", got)
+			}
+			if !tc.want {
+				return
+			}
+			at = at.Add(lease - time.Second)
+			if !p.Deaf() {
+				t.Error("not believed for a lease")
+			}
+			m.Epoch++ // its part is given back
+			at = at.Add(2 * time.Second)
+			p.Hearing()
+			at = at.Add(2 * report)
+			if got := p.Deaf(); got != tc.relapse {
+				t.Errorf("deaf again: %v", got)
+			}
+			at = at.Add(2*lease - time.Second)
+			if !p.Deaf() {
+				t.Error("not believed for longer the second time")
+			}
+		})
+	}
+}
+
+// A node behind the same cut as a zone's workers answers those of owners that are
+// out of reach, under a map whose leader reckons with it and not otherwise.
+func TestStandsIn(t *testing.T) {
+	near := lead.Map{Epoch: 7, Leader: "other", Parts: []string{"me", "other"}, Near: true}
+	old, without := near, near
+	old.Near, without.Parts = false, []string{"other"}
+	for _, tc := range []struct {
+		name  string
+		m     lead.Map
+		zone  string
+		stale time.Duration
+		live  bool
+		seen  uint64
+		epoch uint64
+	}{
+		{"cut off with the worker's zone", near, "a", time.Minute, false, 7, 7},
+		{"the owner can be reached", near, "a", time.Minute, true, 7, 0},
+		{"the state service answers: a new map will come", near, "a", 0, false, 7, 0},
+		{"another zone", near, "b", time.Minute, false, 7, 0},
+		{"a leader of an earlier version", old, "a", time.Minute, false, 7, 0},
+		{"this node has no part any more", without, "a", time.Minute, false, 7, 0},
+		{"the worker knows a later map", near, "a", time.Minute, false, 8, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := part(t, tc.m, tc.stale, &links{err: peer.ErrDown, peers: map[string]peer.Status{"other": {Live: tc.live}}})
+			p.set.Zone = "a"
+			host := "i-1"
+			for i := 0; tc.m.Owner(host) != "other"; i++ {
+				host += "x"
+			}
+			out, err := p.Beat(t.Context(), &wire.Report{Host: host, Locale: tc.zone, Epoch: tc.seen}, leader{})
+			if out.Epoch != tc.epoch || (err == nil) != (tc.epoch > 0) || len(out.Orders) > 0 {
+				t.Errorf("%+v, %v", out, err)
+			}
+		})
+	}
+}
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -40,6 +40,8 @@
 	now   func() time.Time
 	tune  placement.Tuning
 
+	ears ears
+
 	mu    sync.Mutex
 	table *placement.Table
 	fed   int
@@ -80,7 +82,7 @@
 		// and hold the worker here while its lease runs out.
 		return wire.Orders{}, ErrNotOwner{}
 	}
-	if owner := m.Owner(r.Host); owner != p.set.Node {
+	if owner := m.Owner(r.Host); owner != p.set.Node && !p.standsIn(m, owner, r.Locale) {
 		return wire.Orders{}, ErrNotOwner{owner}
 	}
 	if m.Leader == p.set.Node {
@@ -111,6 +113,16 @@
 	return wire.Orders{Epoch: m.Epoch, Orders: []wire.Order{}}, nil
 }
 
+// standsIn tells whether this node answers a host of its own zone in place of its
+// owner: the state service refuses this node, so that no new map can reach it, and
+// the owner is out of reach. The host's tasks then run on for as long as the zone
+// is cut off. Only under a map that lists this node and whose leader reckons with
+// this: no lease of such a host is taken to be over meanwhile.
+func (p *Part) standsIn(m lead.Map, owner, zone string) bool {
+	return m.Near && zone != "" && zone == p.set.Zone && slices.Contains(m.Parts, p.set.Node) &&
+		p.Refused() && !p.links.Peers()[owner].Live
+}
+
 // Learn takes in a finish.
 func (p *Part) Learn(f agent.Finish) {
 	p.mu.Lock()
@@ -150,7 +162,7 @@
 	fit := []string{p.set.Node}
 	for n, s := range p.links.Peers() {
 		settled := slices.Contains(have, n) || p.now().Sub(s.Since) > 2*p.set.Report() || len(have) == 0
-		if s.Live && settled && (s.StateAge < refused(p.set) || p.stale() > p.set.Report()/2) {
+		if s.Live && settled && !s.Hearing.Deaf && (s.StateAge < refused(p.set) || p.stale() > p.set.Report()/2) {
 			fit = append(fit, n)
 		}
 	}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -35,6 +35,9 @@
 
 	// Versions before 0.2 refuse what follows, by which they are known.
 	kindVersion // the program's version, and the peer's in answer
+
+	// Sent only to peers that are known to be of 0.3 or later.
+	kindHearing // how well a node hears workers, and the peer in answer
 )
 
 // ErrFormat says that a frame breaks the format.
--- a/internal/peer/compat_test.go
+++ b/internal/peer/compat_test.go
@@ -77,6 +77,7 @@
 func (n *node) Pick(o placement.Offer) []placement.Picked     { return n.pick(o) }
 func (n *node) User(context.Context, UserRequest) UserAnswer  { return UserAnswer{} }
 func (n *node) Counts(string) Counts                          { return Counts{} }
+func (n *node) Hearing() Hearing                              { return Hearing{Age: time.Second, Deaf: true} }
 func (n *node) Version() string                               { return n.version }
 
 func refuse(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
@@ -93,6 +94,35 @@
 	return frame{kind: kindRefuse, id: f.id}
 }
 
+// How a node hears is asked of peers that are known to tell, and of no others.
+func TestHearingOfPeer(t *testing.T) {
+	for _, tc := range []struct {
+		version string
+		known   bool
+	}{{"0.2.0", false}, {"0.3.0", true}, {"0.10.1", true}, {"odd", false}} {
+		t.Run(tc.version, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				far := NewMesh(nil, &node{version: tc.version}, time.Second, 4, refuse, quiet())
+				dial := func(context.Context, string, string) (net.Conn, error) {
+					near, there := net.Pipe()
+					go far.serve(ctx, there)
+					return near, nil
+				}
+				m := NewMesh([]settings.Member{{Node: "n", Endpoint: "n:1"}}, &node{version: "0.3.0"}, time.Second, 4, dial, quiet())
+				done := make(chan struct{})
+				go func() { defer close(done); m.links["n"].run(ctx, m.h) }()
+				time.Sleep(10 * time.Second)
+				if s := m.Peers()["n"]; s.HearingKnown != tc.known || s.Hearing.Deaf != tc.known {
+					t.Errorf("%+v", s)
+				}
+				cancel()
+				<-done
+			})
+		})
+	}
+}
+
 // A peer's version is known from its answer, an old one by its refusal, and a
 // peer that comes back as the other is known as that: connection by connection.
 func TestVersionOfPeer(t *testing.T) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"golang.org/x/mod/semver"
 	"golang.org/x/sync/errgroup"
 
 	"rillflow/internal/placement"
@@ -26,6 +27,7 @@
 	Pick(o placement.Offer) []placement.Picked
 	User(ctx context.Context, r UserRequest) UserAnswer
 	Counts(ref string) Counts
+	Hearing() Hearing
 	Version() string
 }
 
@@ -85,6 +87,9 @@
 	Version string
 	Live    bool      // answered lately
 	Since   time.Time // live without a break since
+	// Hearing is how the peer hears workers, if it is new enough to tell.
+	Hearing      Hearing
+	HearingKnown bool
 }
 
 // Peers tells how all peers stand.
@@ -224,8 +229,15 @@
 		c := m.h.Counts(string(f.body))
 		return c.encode(), nil
 	}
-	if f.kind == kindVersion {
+	switch f.kind {
+	case kindVersion:
 		return []byte(m.h.Version()), nil
+	case kindHearing:
+		if _, err := decodeHearing(f.body); err != nil {
+			return nil, err
+		}
+		own := m.h.Hearing()
+		return own.encode(), nil
 	}
 	return nil, fmt.Errorf("%w: kind %d", ErrFormat, f.kind)
 }
@@ -258,6 +270,8 @@
 	pending map[uint64]chan frame
 	last    Ping
 	version string
+	hearing Hearing
+	heard   bool      // hearing is of this connection
 	at      time.Time // of the last answered ping
 	since   time.Time
 
@@ -267,7 +281,10 @@
 func (l *Link) status() Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Status{Ping: l.last, Version: l.version, Live: !l.at.IsZero() && time.Since(l.at) < 3*l.every, Since: l.since}
+	return Status{
+		Ping: l.last, Version: l.version, Live: !l.at.IsZero() && time.Since(l.at) < 3*l.every, Since: l.since,
+		Hearing: l.hearing, HearingKnown: l.heard,
+	}
 }
 
 // run dials, pings, and dials again.
@@ -315,6 +332,33 @@
 	return err == nil || errors.Is(err, ErrRefused)
 }
 
+// hears is the first version that tells how it hears workers.
+const hears = "v0.3.0"
+
+// listen asks how the peer hears workers, if it is new enough to tell.
+func (l *Link) listen(ctx context.Context, h Handler) {
+	l.mu.Lock()
+	version := "v" + l.version
+	l.mu.Unlock()
+	if !semver.IsValid(version) || semver.Compare(version, hears) < 0 {
+		return
+	}
+	lctx, cancel := context.WithTimeout(ctx, 3*l.every)
+	defer cancel()
+	own := h.Hearing()
+	b, err := l.ask(lctx, kindHearing, own.encode())
+	if err != nil {
+		return
+	}
+	got, err := decodeHearing(b)
+	if err != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hearing, l.heard = got, true
+}
+
 // ping asks the peer how it stands until an answer fails to come.
 func (l *Link) ping(ctx context.Context, h Handler) {
 	greeted := false
@@ -341,6 +385,7 @@
 		if !greeted {
 			greeted = l.greet(ctx, h)
 		}
+		l.listen(ctx, h)
 		t := time.NewTimer(l.every)
 		select {
 		case <-ctx.Done():
@@ -372,6 +417,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conn, l.version = nil, ""
+	l.hearing, l.heard = Hearing{}, false
 	for id, ch := range l.pending {
 		delete(l.pending, id)
 		close(ch)
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -33,6 +33,25 @@
 	return p, d.done()
 }
 
+// Hearing tells a peer how well this node hears workers.
+type Hearing struct {
+	Age  time.Duration // since a worker last made itself heard here
+	Deaf bool          // workers do not reach this node, though they reach others
+}
+
+func (h *Hearing) encode() []byte {
+	var e encoder
+	e.int(int64(h.Age))
+	e.bool(h.Deaf)
+	return e.b
+}
+
+func decodeHearing(b []byte) (h Hearing, err error) {
+	d := decoder{b: b}
+	h = Hearing{Age: time.Duration(d.int()), Deaf: d.bool()}
+	return h, d.done()
+}
+
 // BeatAnswer is the leader's answer to a report passed on by an owner.
 type BeatAnswer struct {
 	OK      bool // false: the leader may not answer it
--- a/internal/serve/front.go
+++ b/internal/serve/front.go
@@ -43,6 +43,7 @@
 
 // beat answers a worker's report, or says who may.
 func (d *daemon) beat(w http.ResponseWriter, r *http.Request) {
+	d.part.Heard()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, agent.MaxBody))
 	var rep wire.Report
 	if err == nil {
@@ -125,6 +126,8 @@
 	return peer.Counts{Known: ok, Done: c.Done, Running: c.Running}
 }
 
+func (d *daemon) Hearing() peer.Hearing { return d.part.Hearing() }
+
 func (d *daemon) Version() string { return Version }
 
 func (d *daemon) User(ctx context.Context, r peer.UserRequest) peer.UserAnswer {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -24,7 +24,7 @@
 )
 
 // Version is the program's version.
-const Version = "0.2.0"
+const Version = "0.3.0"
 
 // daemon is a running controller.
 type daemon struct {
@@ -125,6 +125,10 @@
 			return ctx.Err()
 		case <-tick.C:
 		}
+		if d.part.Deaf() {
+			// Another leads and answers the workers meanwhile.
+			d.el.Resign(d.set.Lease(), "workers reach others but not this node")
+		}
 		if d.st.SinceOK() >= every {
 			d.st.Probe(ctx)
 		}
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -44,10 +44,12 @@
 
 // Fleet are the settings of renting.
 type Fleet struct {
-	Thrift  string  `xml:"thrift" validate:"oneof=auto always never"`
-	Silence float64 `xml:"silence" validate:"gte=1.5"`
-	Spare   float64 `xml:"spare" validate:"gte=0"`
-	Idle    float64 `xml:"idle" validate:"gt=0"`
+	Thrift   string  `xml:"thrift" validate:"oneof=auto always never"`
+	Silence  float64 `xml:"silence" validate:"gte=1.5"`
+	Patience float64 `xml:"patience" validate:"gte=1"`
+	Headroom float64 `xml:"headroom" validate:"gte=0,lte=1"`
+	Spare    float64 `xml:"spare" validate:"gte=0"`
+	Idle     float64 `xml:"idle" validate:"gt=0"`
 }
 
 // Limits are ratios to the process's resources.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/go-playground/validator/v10"
@@ -202,24 +203,53 @@
 	return Team{}, false
 }
 
-// Frugal tells whether to rent for the work on hand rather than ahead of it:
-// as the operator says, or else where the users' aims price what is rented, or
-// give work deadlines, so that to be done sooner is worth nothing to them. Where
-// they also want some class finished soon after its submission, it is not.
-func (s *Settings) Frugal() bool {
+// Near tells whether any other controller of those named is in a zone.
+func (s *Settings) Near(zone string, nodes []string) bool {
+	return slices.ContainsFunc(s.Members, func(m Member) bool { return m.Zone == zone && slices.Contains(nodes, m.Node) })
+}
+
+// Ample tells whether to rent ahead of a class's work rather than for what is on
+// hand: as the operator says, or else unless the users' aims price what is rented,
+// or give the class deadlines, so that to be done sooner is worth nothing. A time
+// since submission by which it is wanted finished as well is one more deadline.
+// What has neither goes with the rest: it is rented for thriftily where all that
+// has times has deadlines.
+func (s *Settings) Ample(class string) bool {
 	switch s.Operator.Fleet.Thrift {
 	case "always":
-		return true
-	case "never":
 		return false
+	case "never":
+		return true
 	}
-	var priced, due, soon bool
+	var due, soon, anyDue, anySoon bool
 	for _, o := range s.Facts.Objectives {
-		priced = priced || o.Kind == "price" || o.Kind == "useful"
-		due = due || o.Kind == "deadline"
-		soon = soon || o.Kind == "finished"
+		switch o.Kind {
+		case "price", "useful":
+			return false
+		case "deadline":
+			anyDue, due = true, due || o.Class == class
+		case "finished":
+			soon = soon || o.Class == class
+			anySoon = anySoon || !s.deadline(o.Class)
+		}
 	}
-	return priced || due && !soon
+	switch {
+	case due:
+		return false
+	case soon:
+		return true
+	}
+	return !anyDue || anySoon
+}
+
+// deadline tells whether a class has an aim for its deadlines.
+func (s *Settings) deadline(class string) bool {
+	return slices.ContainsFunc(s.Facts.Objectives, func(o Objective) bool { return o.Kind == "deadline" && o.Class == class })
+}
+
+// Frugal tells whether no class at all is rented ahead for.
+func (s *Settings) Frugal() bool {
+	return !s.Ample("") && !slices.ContainsFunc(s.Facts.Objectives, func(o Objective) bool { return o.Class != "" && s.Ample(o.Class) })
 }
 
 // Seconds converts an amount of seconds.
--- a/internal/sim/worker_test.go
+++ b/internal/sim/worker_test.go
@@ -81,6 +81,21 @@
 	srv := &http.Server{Handler: k, ErrorLog: log.New(io.Discard, "", 0)}
 	go srv.Serve(k.w.net.listen(k.h.Ref, k.h.Address))
 	defer srv.Close()
+	// The lease ends when it ends, whatever the worker waits for.
+	tick := time.NewTicker(lease / 64)
+	defer tick.Stop()
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+				k.mu.Lock()
+				k.expire()
+				k.mu.Unlock()
+			}
+		}
+	}()
 	for {
 		d := report*3/4 + time.Duration(k.w.intN(int(report/2)))
 		select {
