--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -366,6 +366,7 @@
 
 // urgency orders jobs within a type.
 type urgency struct {
+	last  bool    // the next of its times is lost unless it starts about now
 	stage int     // how many of the times its users named have become out of reach
 	work  float64 // core-seconds left
 }
@@ -374,14 +375,29 @@
 // and the objectives of its class. A time that can no longer be met is past
 // helping, so those that still can go first; among them the job with the least
 // work left, for then the most jobs are in time when there is not room for all.
+// A job that was put behind for a lost time is not left there until the next is
+// lost as well: it goes first when that is about to happen. Large arrays would
+// otherwise wait for as long as small ones keep coming.
 func (r *reign) urgency(j *ledger.Job, now time.Time) urgency {
 	u := urgency{work: float64(j.Unfinished()) * max(j.Spec.Cores, 1) * max(j.Spec.ExpectS, 1)}
-	done := now.Add(settings.Seconds(j.Spec.ExpectS))
-	for k := range r.set.Facts.Objectives {
-		if by := r.wanted(k, j); !by.IsZero() && done.After(by) {
+	run := settings.Seconds(j.Spec.ExpectS)
+	margin := r.set.Lease() / 2
+	for k, o := range r.set.Facts.Objectives {
+		by := r.wanted(k, j)
+		start := by.Add(-time.Duration(longest * float64(run))) // at the latest
+		if o.Kind == "wait" && o.Class == j.Spec.Class && j.Spec.Shape != wire.Standing {
+			by = j.ReadyAt.Add(settings.Seconds(o.WithinS)).Add(run)
+			start = by.Add(-run)
+		}
+		switch {
+		case by.IsZero():
+		case now.Add(run).After(by):
 			u.stage++
+		case now.Add(margin).After(start):
+			u.last = true
 		}
 	}
+	u.last = u.last && u.stage > 0
 	return u
 }
 
@@ -410,6 +426,14 @@
 }
 
 func (u urgency) compare(v urgency) int {
+	switch {
+	case u.last != v.last && u.last:
+		return -1
+	case u.last != v.last:
+		return 1
+	case u.last:
+		return cmp.Compare(u.work, v.work)
+	}
 	return cmp.Or(cmp.Compare(u.stage, v.stage), cmp.Compare(u.work, v.work))
 }
 
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -237,7 +237,7 @@
 		if !h.Draining {
 			continue
 		}
-		if plan.Keep {
+		if plan.Keep || plan.Freed && !r.replicas(h) {
 			h.Draining = false
 			kick(r.plans)
 			continue
@@ -251,7 +251,7 @@
 				j.Active() < j.Spec.Members {
 				continue
 			}
-			m := r.elsewhere(c, rooms)
+			m := r.elsewhere(c, rooms, plan.Freed)
 			if m == nil {
 				continue
 			}
@@ -263,6 +263,16 @@
 	}
 }
 
+// replicas tells whether any replica is on a host.
+func (r *reign) replicas(h *agent.Host) bool {
+	for _, c := range r.led.OnHost(h.Name) {
+		if c.Job.Spec.Shape == wire.Standing {
+			return true
+		}
+	}
+	return false
+}
+
 // settled tells whether a task has run long enough to be moved: one stopped
 // soon after its start was as good as never started to its users.
 func (r *reign) settled(c *ledger.Held, now time.Time) bool {
@@ -271,10 +281,18 @@
 
 // elsewhere finds a replica a place on another machine that has its image, where
 // it is back within some 30 ms. A fetch would take it away for a second.
-func (r *reign) elsewhere(c *ledger.Held, rooms []*room) *room {
+//
+// Where it is moved to make room, only a smaller machine will do.
+func (r *reign) elsewhere(c *ledger.Held, rooms []*room, smaller bool) *room {
 	j := c.Job
+	own := 0.0
+	if h := r.hosts[c.Host]; h != nil {
+		if t := r.types.Types()[h.Flavor]; t != nil {
+			own = t.Cores
+		}
+	}
 	for _, m := range rooms {
-		if m.h.Name == c.Host || m.h.Draining || !m.fits(j) || !m.h.HasImage(j.Spec.Bundle) {
+		if m.h.Name == c.Host || m.h.Draining || !m.fits(j) || !m.h.HasImage(j.Spec.Bundle) || smaller && m.t.Cores >= own {
 			continue
 		}
 		free := r.led.ZoneRoom(j, m.h.Zone)
@@ -478,7 +496,7 @@
 		}
 		var m *room
 		if r.settled(c, now) {
-			m = r.elsewhere(c, rooms)
+			m = r.elsewhere(c, rooms, !r.set.Frugal())
 		}
 		if m == nil {
 			for _, f := range undo {
@@ -495,7 +513,7 @@
 // need sums up the work on hand.
 func (r *reign) need(now time.Time) fleet.Need {
 	var n fleet.Need
-	seen := make(map[string]int)
+	seen, waits := make(map[string]int), make(map[int]bool)
 	cut := make(map[*ledger.Job]int)
 	for _, h := range r.sorted {
 		if !r.cutOff(h, now) {
@@ -540,6 +558,10 @@
 			n.Tasks = append(n.Tasks, fleet.Shape{Cores: s.Cores, Accel: s.Accel, RAM: s.RAM, Flavors: s.Flavors, Zone: s.Locale, Loaners: s.Loaners})
 		}
 		n.Tasks[k].Weight += cores
+		if !waits[k] && s.Loaners && min(j.WaitingTasks(), r.led.Headroom(j)) > 0 {
+			waits[k] = true
+			n.Waiting = append(n.Waiting, n.Tasks[k])
+		}
 	}
 	for team := range r.ahead {
 		n.Ahead += r.led.Team(team).CPUsMax
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -45,6 +45,7 @@
 	SteadyJobs int
 	Ahead      float64 // limits of the teams whose work is rented ahead for
 	Tasks      []Shape // shapes of tasks on hand
+	Waiting    []Shape // of tasks that wait though their teams' limits allow them
 }
 
 // Shape is what a task takes and where it may run.
@@ -149,6 +150,7 @@
 	Leave []string // machines to return
 	Drain []string // machines that take no new tasks from now on
 	Keep  bool     // machines draining are needed after all
+	Freed bool     // machines draining are needed again once their replicas are gone
 }
 
 // Plan decides what to rent and what to return.
@@ -157,7 +159,7 @@
 	if need.Ahead == 0 && p.set.Frugal() {
 		return p.frugal(types, ms, need, now)
 	}
-	plan := Plan{Rents: p.ample(types, ms, need, now)}
+	plan := Plan{Rents: p.ample(types, ms, need, now), Drain: p.crowded(types, ms, need), Freed: true}
 	if len(need.Tasks) == 0 {
 		for _, m := range ms {
 			if t := types[m.Flavor]; t != nil && p.idle(m, t, now) {
@@ -224,6 +226,51 @@
 	return rents
 }
 
+// crowded are machines that a few replicas keep from tasks that wait: with those
+// moved to smaller machines, which such tasks do not fit, there is room for more of
+// them. Those that give up the least for it go first, a few at a time.
+func (p *Planner) crowded(types map[string]*wire.MachineType, ms []Machine, need Need) []string {
+	type gain struct {
+		m     *Machine
+		price float64 // replicas' cores moved for each task more
+	}
+	var gains []gain
+	draining := 0
+	for i := range ms {
+		m := &ms[i]
+		t := types[m.Flavor]
+		if m.Draining {
+			draining++
+		}
+		if t == nil || !m.Up || m.Leaving || m.Draining || m.Replicas == 0 {
+			continue
+		}
+		for _, s := range need.Waiting {
+			if !s.Fits(t) || m.Loaners && !s.Loaners || s.Cores <= 0 {
+				continue
+			}
+			if n := s.holds(t) - math.Floor((t.Cores-m.Taken)/s.Cores+1e-6); n >= 1 {
+				gains = append(gains, gain{m, m.Taken / n})
+				break
+			}
+		}
+	}
+	slices.SortFunc(gains, func(a, b gain) int {
+		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.m.Name, b.m.Name))
+	})
+	var out []string
+	few := max(2, len(ms)/32)
+	for _, g := range gains {
+		if draining+len(out) >= few {
+			break
+		}
+		if g.m.Movable() {
+			out = append(out, g.m.Name)
+		}
+	}
+	return out
+}
+
 // frugal rents for the work on hand and a spare share, on spot machines where
 // the work may, and returns what stands idle. Machines that are more than the
 // need are drained, the dearest core first, since a few replicas on each would
@@ -342,14 +389,18 @@
 }
 
 // exposed is the zone whose loss would leave the most replicas without room, and
-// how much they would lack. What passes on firm machines gives its room to them,
-// so that the room kept for a zone is not idle.
+// how much they would lack: of zones where no controller could go on answering the
+// machines. What passes on firm machines gives its room to replicas, so that the
+// room kept for a zone is not idle.
 func (p *Planner) exposed(taken, free zones) (zone string, lack float64) {
 	total := 0.0
 	for _, f := range free {
 		total += f
 	}
 	for _, z := range slices.Sorted(maps.Keys(taken)) {
+		if p.set.Covered(z) {
+			continue
+		}
 		if l := p.set.Operator.Fleet.Headroom*taken[z] - (total - free[z]); l > lack {
 			zone, lack = z, l
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -208,6 +208,11 @@
 	return slices.ContainsFunc(s.Members, func(m Member) bool { return m.Zone == zone && slices.Contains(nodes, m.Node) })
 }
 
+// Covered tells whether any controller is in a zone.
+func (s *Settings) Covered(zone string) bool {
+	return s.Zone == zone || slices.ContainsFunc(s.Members, func(m Member) bool { return m.Zone == zone })
+}
+
 // Ample tells whether to rent ahead of a class's work rather than for what is on
 // hand: as the operator says, or else unless the users' aims price what is rented,
 // or give the class deadlines, so that to be done sooner is worth nothing. A time
