--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -520,7 +520,11 @@
 			continue
 		}
 		for _, c := range r.led.OnHost(h.Name) {
-			cut[c.Job]++
+			// It cannot run elsewhere as yet. A replica that no controller
+			// keeps alive there will have to, so there is to be room for it.
+			if c.Job.Spec.Shape != wire.Standing || r.set.Covered(h.Zone) {
+				cut[c.Job]++
+			}
 		}
 	}
 	for _, j := range r.led.Jobs() {
@@ -534,11 +538,10 @@
 			continue
 		}
 		s := &j.Spec
-		cores := s.Cores * float64(j.Unfinished())
+		cores := s.Cores * float64(j.Unfinished()-cut[j])
 		switch {
 		case r.ahead[s.Owner]: // up to the team's limit, whatever is on hand
 		case s.Loaners:
-			cores -= s.Cores * float64(cut[j]) // it cannot run elsewhere as yet
 			passing[s.Owner] += cores
 			paced[s.Owner] += cores * r.pace(j, now)
 			n.Queue += s.Cores * float64(min(j.WaitingTasks(), r.led.Headroom(j)))
