--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -397,25 +397,29 @@
 }
 
 // exposed is the zone whose loss would leave the most replicas without room, and
-// how much they would lack: of zones where no controller could go on answering the
-// machines. What passes on firm machines gives its room to replicas, so that the
-// room kept for a zone is not idle.
+// how much they would lack. A zone with a controller goes on behind a cut: what
+// lacks room then is new, and a part of the room will do. What passes on firm
+// machines gives its room to replicas, so that the room kept is not idle.
 func (p *Planner) exposed(taken, free zones) (zone string, lack float64) {
 	total := 0.0
 	for _, f := range free {
 		total += f
 	}
 	for _, z := range slices.Sorted(maps.Keys(taken)) {
+		share := p.set.Operator.Fleet.Headroom
 		if p.set.Covered(z) {
-			continue
+			share *= held
 		}
-		if l := p.set.Operator.Fleet.Headroom*taken[z] - (total - free[z]); l > lack {
+		if l := share*taken[z] - (total - free[z]); l > lack {
 			zone, lack = z, l
 		}
 	}
 	return zone, lack
 }
 
+// held is the part of a zone's headroom that is kept where a controller holds it.
+const held = 0.3
+
 // bares tells whether the loss of a zone would leave replicas without room once a
 // machine is gone, its own replicas moved to others.
 func (p *Planner) bares(taken, free zones, m Machine, cores float64) bool {
--- a/internal/placement/offer.go
+++ b/internal/placement/offer.go
@@ -201,7 +201,7 @@
 	// Replicas fill small machines first: large tasks have no use for them.
 	// Up to the time their users name each second of fetch weighs; past it the
 	// start is late and it weighs little.
-	c += 0.03*r.Total + 0.5*min(fetch, w.Within) + 0.05*fetch
+	c += 0.01*r.Total + 0.5*min(fetch, w.Within) + 0.05*fetch
 	if fetch > w.Within {
 		c++
 		// The start is late in any case. Where the zone has no machine with
