Placement: jobs about to lose a time go first, those that lost one before all

Cause: within a type the least work went first, and jobs put behind only when their next time was about to be lost; the first time was lost by larger jobs while the smallest had time to spare.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -166,6 +166,41 @@
 	}
 }
 
+// What goes before what within a type, with two times of 60 and 120 s named for the
+// class, a lease of 30 s and runs of 10 s.
+func TestOrderOfLateJobs(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		first, second time.Duration // since when each is ready
+		small         bool          // the second has less work
+		want          bool          // the first goes first
+	}{
+		{"the least work, both in time", 10 * time.Second, 10 * time.Second, true, false},
+		{"about to lose its first time", 35 * time.Second, 10 * time.Second, true, true},
+		{"lost it: behind", 70 * time.Second, 10 * time.Second, false, false},
+		{"about to lose the next: first again", 95 * time.Second, 10 * time.Second, true, true},
+		{"and before one that has lost none", 95 * time.Second, 35 * time.Second, true, true},
+		{"both about to lose the same: the least work", 95 * time.Second, 97 * time.Second, true, false},
+		{"nothing left to lose: last", 200 * time.Second, 70 * time.Second, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := term(t)
+			job := wire.Job{Class: "f", Shape: wire.Batch, ExpectS: 10, Members: 20, Cores: 1}
+			a := r.add("req-1", job)
+			if tc.small {
+				job.Members = 2
+			}
+			b := r.add("req-2", job)
+			a.ReadyAt, b.ReadyAt = now.Add(-tc.first), now.Add(-tc.second)
+			jobs := []*ledger.Job{b, a}
+			r.order(jobs, now)
+			if got := jobs[0] == a; got != tc.want {
+				t.Errorf("the first goes first: %v", got)
+			}
+		})
+	}
+}
+
 // Work with time for several rounds needs fewer machines at once.
 func TestPace(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -366,7 +366,7 @@
 
 // urgency orders jobs within a type.
 type urgency struct {
-	last  bool    // the next of its times is lost unless it starts about now
+	last  bool    // a time of it is lost unless it starts about now
 	stage int     // how many of the times its users named have become out of reach
 	work  float64 // core-seconds left
 }
@@ -375,9 +375,9 @@
 // and the objectives of its class. A time that can no longer be met is past
 // helping, so those that still can go first; among them the job with the least
 // work left, for then the most jobs are in time when there is not room for all.
-// A job that was put behind for a lost time is not left there until the next is
-// lost as well: it goes first when that is about to happen. Large arrays would
-// otherwise wait for as long as small ones keep coming.
+// But a job goes first when one of its times is about to be lost, before all others
+// if it has lost one already: large arrays would otherwise wait for as long as small
+// ones keep coming.
 func (r *reign) urgency(j *ledger.Job, now time.Time) urgency {
 	u := urgency{work: float64(j.Unfinished()) * max(j.Spec.Cores, 1) * max(j.Spec.ExpectS, 1)}
 	run := settings.Seconds(j.Spec.ExpectS)
@@ -397,7 +397,6 @@
 			u.last = true
 		}
 	}
-	u.last = u.last && u.stage > 0
 	return u
 }
 
@@ -432,7 +431,7 @@
 	case u.last != v.last:
 		return 1
 	case u.last:
-		return cmp.Compare(u.work, v.work)
+		return cmp.Or(-cmp.Compare(min(u.stage, 1), min(v.stage, 1)), cmp.Compare(u.work, v.work))
 	}
 	return cmp.Or(cmp.Compare(u.stage, v.stage), cmp.Compare(u.work, v.work))
 }
