Mend: one way to say come back, one prompt ask on the link, no dead state

One test of memory allowed two answers where one is right; a comment promised 2,000 machines, which were not seen to the end.

--- a/internal/control/quiet.go
+++ b/internal/control/quiet.go
@@ -54,10 +54,11 @@
 // cutOff tells whether a silent host is more likely behind a cut than dead: it is
 // neither returned nor counted on until that has lasted for longer than cuts do.
 func (r *reign) cutOff(h *agent.Host, now time.Time) bool {
-	if r.quietFor(h, now) <= time.Duration(missedReport*float64(r.set.Report())) {
+	v := r.voice(h, now)
+	if !r.quiet.Silent(v) {
 		return false
 	}
-	fault, since := r.quiet.Fault(r.voice(h, now))
+	fault, since := r.quiet.Fault(v)
 	return fault >= silence.Part && now.Sub(since) < time.Duration(r.set.Operator.Fleet.Patience*float64(r.set.Lease()))
 }
 
--- a/internal/control/rules_test.go
+++ b/internal/control/rules_test.go
@@ -68,7 +68,6 @@
 	known   lead.Map // what the second controller knows
 	old     *reign   // an earlier leader that does not know it is one
 	store   map[string][]byte
-	withdrn map[string]bool
 	jobs    []string
 	done    map[string]bool // tasks that completed
 	limit   float64
@@ -80,7 +79,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := &model{t: t, now: now, done: map[string]bool{}, withdrn: map[string]bool{}, store: map[string][]byte{}, limit: 5, term: &held{lead.Map{Epoch: 1, Leader: "n", Parts: []string{"m", "n"}, Near: true}}}
+	m := &model{t: t, now: now, done: map[string]bool{}, store: map[string][]byte{}, limit: 5, term: &held{lead.Map{Epoch: 1, Leader: "n", Parts: []string{"m", "n"}, Near: true}}}
 	m.known = m.term.m
 	m.set = &settings.Settings{Node: "n", Zone: "a", Operator: op, Members: []settings.Member{{Node: "m", Zone: "b"}}, Facts: settings.Facts{
 		Workers: settings.Workers{ReportS: 3, LeaseS: 30, CancelS: 50},
@@ -308,7 +307,7 @@
 	}
 }
 
-// late delivers a report of the past, whose answer the worker drops.
+// lateReport delivers a report of the past, whose answer the worker drops.
 func (m *model) lateReport() {
 	w := m.worker()
 	if len(w.reports) == 0 || m.term.m.Owner(w.name) != "n" {
@@ -482,7 +481,6 @@
 			}
 			delete(m.store, ledger.LiveKey(ref))
 			m.store[ledger.EndedKey(ref)] = end
-			m.withdrn[ref] = true
 			m.r.withdraw(ref)
 		}
 	}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -45,7 +45,7 @@
 	SteadyJobs int
 	Ahead      float64 // limits of the teams whose work is rented ahead for
 	Tasks      []Shape // shapes of tasks on hand
-	Waiting    []Shape // of tasks that wait though their teams' limits allow them
+	Waiting    []Shape // of tasks that may run anywhere and wait within their teams' limits
 }
 
 // Shape is what a task takes and where it may run.
@@ -246,7 +246,7 @@
 			continue
 		}
 		for _, s := range need.Waiting {
-			if !s.Fits(t) || m.Loaners && !s.Loaners || s.Cores <= 0 {
+			if !s.Fits(t) || s.Cores <= 0 {
 				continue
 			}
 			if n := s.holds(t) - math.Floor((t.Cores-m.Taken)/s.Cores+1e-6); n >= 1 {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -74,14 +74,11 @@
 	w.Write(b)
 }
 
-// busy tells the user when to come back.
-func busy(w http.ResponseWriter, why string) {
-	w.Header().Set("Retry-After", "1")
-	reply(w, http.StatusServiceUnavailable, wire.Error{Error: why})
-}
+// busy tells the user to come back after the least time there is.
+func busy(w http.ResponseWriter, why string) { later(w, why, time.Second) }
 
 // later tells the user to come back after some time.
-func (u *Users) later(w http.ResponseWriter, why string, after time.Duration) {
+func later(w http.ResponseWriter, why string, after time.Duration) {
 	w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
 	reply(w, http.StatusServiceUnavailable, wire.Error{Error: why})
 }
@@ -117,7 +114,7 @@
 	if u.full() {
 		// What was taken is served on; a process that ends for memory serves
 		// nobody, and the next leader would be no better off.
-		u.later(w, "memory is short", u.set.Report())
+		later(w, "memory is short", u.set.Report())
 		return
 	}
 	began := u.now()
--- a/internal/intake/needs_test.go
+++ b/internal/intake/needs_test.go
@@ -113,7 +113,7 @@
 	if rec.Code != 200 {
 		t.Errorf("poll: %d", rec.Code)
 	}
-	if rec := submit(mux, "req-3", nil, "", ""); rec.Code != 503 && rec.Code != 200 {
+	if rec := submit(mux, "req-3", nil, "", ""); rec.Code != 200 {
 		t.Errorf("a known job again: %d", rec.Code)
 	}
 }
--- a/internal/part/deaf.go
+++ b/internal/part/deaf.go
@@ -66,10 +66,8 @@
 	case owner && fresh && quiet > deafAfter*report && (many || e.times > 0):
 		e.rest = now.Add(p.set.Lease() << min(e.times, 4))
 		e.times++
-	case owner && quiet < report:
-		if now.Sub(e.joined) > p.set.Lease() {
-			e.times = 0
-		}
+	case owner && quiet < report && now.Sub(e.joined) > p.set.Lease():
+		e.times = 0
 	}
 	age := now.Sub(e.heard)
 	if e.heard.IsZero() {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -323,9 +323,7 @@
 // greet asks for the peer's version, and reports whether that is settled. An old
 // peer refuses the question.
 func (l *Link) greet(ctx context.Context, h Handler) bool {
-	gctx, cancel := context.WithTimeout(ctx, 3*l.every)
-	defer cancel()
-	b, err := l.ask(gctx, kindVersion, []byte(h.Version()))
+	b, err := l.prompt(ctx, kindVersion, []byte(h.Version()))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.version = string(b[:min(len(b), maxVersion)])
@@ -343,10 +341,8 @@
 	if !semver.IsValid(version) || semver.Compare(version, hears) < 0 {
 		return
 	}
-	lctx, cancel := context.WithTimeout(ctx, 3*l.every)
-	defer cancel()
 	own := h.Hearing()
-	b, err := l.ask(lctx, kindHearing, own.encode())
+	b, err := l.prompt(ctx, kindHearing, own.encode())
 	if err != nil {
 		return
 	}
@@ -364,9 +360,7 @@
 	greeted := false
 	for ctx.Err() == nil {
 		own := h.Ping()
-		pctx, cancel := context.WithTimeout(ctx, 3*l.every)
-		b, err := l.ask(pctx, kindPing, own.encode())
-		cancel()
+		b, err := l.prompt(ctx, kindPing, own.encode())
 		if err != nil {
 			return
 		}
@@ -424,6 +418,13 @@
 	}
 }
 
+// prompt asks what a peer that is up answers at once.
+func (l *Link) prompt(ctx context.Context, k kind, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, 3*l.every)
+	defer cancel()
+	return l.ask(ctx, k, body)
+}
+
 func (l *Link) ask(ctx context.Context, k kind, body []byte) ([]byte, error) {
 	l.mu.Lock()
 	c := l.conn
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -66,7 +66,7 @@
 		Timeout: set.Report() / 2, Dial: nw.Dial,
 	})
 	cloud := fleet.NewCloud(set.Services.Cloud, facts.Cloud.RPS*0.8, set.Report(), nw.Dial)
-	memory := pressure.New(uint64(op.Limits.Refuse*facts.Resources.MemoryMB*(1<<20)), set.Report()/16)
+	d.memory = pressure.New(uint64(op.Limits.Refuse*facts.Resources.MemoryMB*(1<<20)), set.Report()/16)
 	types := fleet.NewCatalogue(cloud, 2*set.Lease(), log)
 	d.el = lead.New(d.st, set.Node, time.Duration(op.Lead.Grant*float64(set.Lease())), func() []string { return d.part.Fit(nil) }, log)
 	d.part = part.New(set, d.el.Known, d.st.SinceOK, time.Now)
@@ -74,11 +74,10 @@
 	d.part.Link(d.mesh)
 	d.control = control.New(control.Deps{
 		Settings: set, State: d.st, Cloud: cloud, Direct: agent.NewDirect(set.Report(), int(idleWorkers*float64(facts.Resources.Sockets)), nw.Dial), Elector: d.el,
-		Types: types, Parts: d.part, Full: memory.High, Log: log,
+		Types: types, Parts: d.part, Full: d.memory.High, Log: log,
 	})
 	mux := http.NewServeMux()
-	d.memory = memory
-	intake.New(set, d.st, types, d.counts, d.part.Refused, memory.High, log).Routes(mux)
+	intake.New(set, d.st, types, d.counts, d.part.Refused, d.memory.High, log).Routes(mux)
 	d.users = mux
 
 	front, err := nw.Listen(set.Front)
--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -76,6 +76,9 @@
 	return &Watch{missed: missed, settle: settle, fallen: make(map[key]*spell)}
 }
 
+// Silent tells whether a host has missed a report.
+func (w *Watch) Silent(h Host) bool { return h.Quiet > w.missed }
+
 // Look judges all machines that are up, at a time.
 func (w *Watch) Look(hosts []Host, now time.Time) {
 	groups := make(map[key]*count)
@@ -88,7 +91,7 @@
 	}
 	firm, spot := make(map[string]*count), make(map[string]*count)
 	for _, h := range hosts {
-		quiet := h.Quiet > w.missed
+		quiet := w.Silent(h)
 		group(Zone, h.Zone).add(quiet)
 		group(Part, h.Owner).add(quiet)
 		kind := firm
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -18,7 +18,7 @@
 // a lease, with the leader outside crashing meanwhile; then some machines hang and
 // others stop, all at once. No rule is broken, what runs behind the cut is neither
 // returned nor lost, and everything is done in the end. SIM_FLEET gives another
-// number of machines; 2,000 take a few minutes.
+// number of machines; 700 take 40 s, 2,000 were not seen to the end.
 func TestFallTogether(t *testing.T) {
 	machines := 96
 	if n, err := strconv.Atoi(os.Getenv("SIM_FLEET")); err == nil {
