--- a/internal/control/takeover_test.go
+++ b/internal/control/takeover_test.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"maps"
 	"net"
 	"net/http"
@@ -12,6 +14,10 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
+	"rillflow/internal/agent"
+	"rillflow/internal/lead"
 	"rillflow/internal/ledger"
 	"rillflow/internal/settings"
 	"rillflow/internal/state"
@@ -92,26 +98,18 @@
 			client := state.New(state.Options{Addr: strings.TrimPrefix(srv.URL, "http://"), RPS: 1e6, Limits: state.Limits{WriteRPS: 1e6, Value: 16 << 10}, Timeout: time.Minute, Dial: d.DialContext})
 			b.ReportAllocs()
 			for b.Loop() {
-				items, _, err := client.List(b.Context(), ledger.LivePrefix)
-				chunks, _, err2 := client.List(b.Context(), ledger.ClaimPrefix)
-				if err != nil || err2 != nil {
-					b.Fatal(err, err2)
-				}
-				fresh := ledger.New("v", teams)
-				for _, it := range items {
-					rec, err := ledger.DecodeRecord(it.Data)
-					if err != nil {
-						b.Fatal(err)
-					}
-					fresh.Add(it.Path[len(ledger.LivePrefix):], rec, it.Stamp)
+				ctx, end := context.WithCancel(b.Context())
+				g, ctx := errgroup.WithContext(ctx)
+				r := &reign{
+					Control: &Control{set: &settings.Settings{Node: "n"}, st: client, log: slog.New(slog.DiscardHandler), now: time.Now},
+					term:    &held{lead.Map{Epoch: 2, Leader: "n", Parts: []string{"n"}}}, first: 2, group: g, ctx: ctx, hosts: make(map[string]*agent.Host),
+					led: ledger.New("v", teams),
 				}
-				for _, it := range chunks {
-					if err := fresh.Load(it.Path, it.Data, it.Stamp, 1); err != nil {
-						b.Fatal(err)
-					}
+				if _, err := r.load(ctx); err != nil {
+					b.Fatal(err)
 				}
-				fresh.Loaded()
-				if got := len(fresh.ClaimedHosts()); got != (tasks+size-1)/size*size/8 && got != (tasks+size-1)/size*size/8+1 {
+				end()
+				if got := len(r.led.ClaimedHosts()); got != (tasks+size-1)/size*size/8 && got != (tasks+size-1)/size*size/8+1 {
 					b.Fatalf("%d hosts", got)
 				}
 			}
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -191,7 +191,8 @@
 		var plan fleet.Plan
 		// What an earlier leader rented shows within a report interval.
 		if types := r.types.Types(); types != nil && (r.first == 1 || now.Sub(r.began) > r.set.Report()) {
-			plan = r.rents.Plan(types, r.machines(now), r.need(now), now)
+			ms := r.machines(now)
+			plan = r.rents.Plan(types, ms, r.need(ms, now), now)
 		}
 		for _, name := range plan.Leave {
 			// Not a host that was given a task since it was looked at.
@@ -513,19 +514,19 @@
 	return true
 }
 
-// need sums up the work on hand.
-func (r *reign) need(now time.Time) fleet.Need {
+// need sums up the work on hand, with what runs on machines behind a cut left out.
+func (r *reign) need(ms []fleet.Machine, now time.Time) fleet.Need {
 	var n fleet.Need
 	seen, waits := make(map[string]int), make(map[int]bool)
 	cut := make(map[*ledger.Job]int)
-	for _, h := range r.sorted {
-		if !r.cutOff(h, now) {
+	for _, m := range ms {
+		if !m.CutOff {
 			continue
 		}
-		for _, c := range r.led.OnHost(h.Name) {
+		for _, c := range r.led.OnHost(m.Name) {
 			// It cannot run elsewhere as yet. A replica that no controller
 			// keeps alive there will have to, so there is to be room for it.
-			if c.Job.Spec.Shape != wire.Standing || r.set.Covered(h.Zone) {
+			if c.Job.Spec.Shape != wire.Standing || r.set.Covered(m.Zone) {
 				cut[c.Job]++
 			}
 		}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -288,7 +288,7 @@
 	perZone := make(map[string]float64)
 	free := make(zones)  // firm room that replicas could have
 	taken := make(zones) // what they have
-	draining, moving := 0, 0
+	draining := 0
 	for _, m := range ms {
 		t := types[m.Flavor]
 		if t == nil || m.Leaving || p.overdue(m, t, now) {
@@ -296,9 +296,6 @@
 		}
 		if m.Draining {
 			draining++
-			if m.Replicas > 0 {
-				moving++
-			}
 			ebbing += t.Cores
 			if !m.Idle.IsZero() {
 				plan.Leave = append(plan.Leave, m.Name)
@@ -366,15 +363,13 @@
 	slices.SortFunc(over, func(a, b Machine) int {
 		return cmp.Or(-cmp.Compare(price(a), price(b)), cmp.Compare(a.Replicas, b.Replicas), cmp.Compare(a.Name, b.Name))
 	})
-	// Draining at once: replicas are moved one after the other, but what only
-	// passes through ends by itself.
-	few, many := max(2, len(over)/32), max(2, len(over)/8)
+	few := max(2, len(over)/32) // draining at once
 	for _, m := range over {
 		t := types[m.Flavor]
 		idle := p.idle(m, t, now)
 		if firm+spot-t.Cores < steady+ebb || !m.Loaners && (firm-t.Cores < steady || free.without(m.Zone, t.Cores) < need.Spread) ||
 			!m.Loaners && p.bares(taken, free, m, t.Cores) ||
-			!idle && (draining >= many || m.Replicas > 0 && moving >= few || now.Sub(m.Asked) < 3*settings.Seconds(t.ReadyS) || m.Replicas > 0 && !m.Movable()) {
+			!idle && (draining >= few || now.Sub(m.Asked) < 3*settings.Seconds(t.ReadyS) || m.Replicas > 0 && !m.Movable()) {
 			continue
 		}
 		if m.Loaners {
@@ -388,9 +383,6 @@
 		} else {
 			plan.Drain = append(plan.Drain, m.Name)
 			draining++
-			if m.Replicas > 0 {
-				moving++
-			}
 		}
 	}
 	return plan
