--- a/internal/control/chain.go
+++ b/internal/control/chain.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"rillflow/internal/audit"
 	"rillflow/internal/lead"
 	"rillflow/internal/ledger"
 	"rillflow/internal/state"
@@ -89,47 +91,98 @@
 // carry withdraws the jobs that come after a withdrawn one, a few in each
 // transaction. None of them has ever had a claim, for none was ready.
 func (r *reign) carry(ctx context.Context) error {
-	for try := 0; ctx.Err() == nil; {
-		r.mu.Lock()
-		js := r.led.ToWithdraw(r.set.Facts.State.Least().TxnOps / 2)
-		txn := wire.Commit{Guards: []wire.Guard{r.term.Guard()}}
-		for _, j := range js {
-			rec := j.Record()
-			data, err := ledger.Encode(ledger.WithdrawnEnding(&rec, r.now()))
-			if err != nil {
-				r.mu.Unlock()
-				return fmt.Errorf("control: %s: %w", j.Ref, err)
+	for ctx.Err() == nil {
+		more, err := r.carryOn(ctx)
+		if !more || err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+// carryOn withdraws the next few, and tells whether there were any.
+func (r *reign) carryOn(ctx context.Context) (more bool, err error) {
+	if r.rec != nil {
+		r.rec.turn.Lock()
+		defer r.rec.turn.Unlock()
+	}
+	r.mu.Lock()
+	js, w, err := r.doomed()
+	r.mu.Unlock()
+	if err != nil || len(js) == 0 {
+		return false, err
+	}
+	txn := wire.Commit{Guards: append([]wire.Guard{r.term.Guard()}, w.Guards...), Apply: w.Apply}
+	for try := 0; ; try++ {
+		_, failed, err := r.st.Commit(ctx, txn)
+		if err == nil && len(failed) > 0 && len(w.blocks) > 0 {
+			// Was it this very transaction, sent before?
+			var mine bool
+			if _, mine, err = w.mine(ctx, r.st); mine {
+				failed = nil
 			}
-			txn.Guards = append(txn.Guards, wire.Guard{Path: ledger.LiveKey(j.Ref), Stamp: j.Stamp()})
-			txn.Apply = append(txn.Apply, wire.Change{Remove: ledger.LiveKey(j.Ref)}, wire.Change{Put: ledger.EndedKey(j.Ref), Data: data})
 		}
-		r.mu.Unlock()
-		if len(js) == 0 {
-			return nil
+		if err == nil {
+			return true, r.carried(js, w, failed)
 		}
-		_, failed, err := r.st.Commit(ctx, txn)
+		if errors.Is(err, state.ErrTooLarge) {
+			r.mu.Lock()
+			r.rec.settled(w, false, r.now())
+			r.mu.Unlock()
+			return true, nil // made again, for the limits in force
+		}
+		// Of unknown fate or not, the same is asked for again: a job that
+		// was withdrawn by it fails its guard then, which is as good.
+		if !state.Backoff(ctx, try, r.set.Report()/64, r.set.Report()/4) {
+			return false, ctx.Err()
+		}
+	}
+}
+
+// doomed makes the change that withdraws the next few jobs.
+func (r *reign) doomed() ([]*ledger.Job, *writing, error) {
+	w := &writing{Batch: &ledger.Batch{}}
+	ops, now := r.set.Facts.State.Least().TxnOps, r.now()
+	n := ops / 2
+	if r.rec != nil {
+		n = max(1, (ops-1)/2) // a change for the block that tells of them
+	}
+	js := r.led.ToWithdraw(n)
+	for _, j := range js {
+		rec := j.Record()
+		data, err := ledger.Encode(ledger.WithdrawnEnding(&rec, now))
 		if err != nil {
-			// Of unknown fate or not, the same is asked for again: a job that
-			// was withdrawn by it fails its guard then, which is as good.
-			state.Backoff(ctx, try, r.set.Report()/64, r.set.Report()/4)
-			try++
-			continue
+			return nil, nil, fmt.Errorf("control: %s: %w", j.Ref, err)
 		}
-		if lead.Deposed(failed) {
-			return lead.ErrDeposed
+		w.Guards = append(w.Guards, wire.Guard{Path: ledger.LiveKey(j.Ref), Stamp: j.Stamp()})
+		w.Apply = append(w.Apply, wire.Change{Remove: ledger.LiveKey(j.Ref)}, wire.Change{Put: ledger.EndedKey(j.Ref), Data: data})
+	}
+	if len(js) == 0 {
+		return nil, nil, nil
+	}
+	return js, w, r.rec.dooming(w, js, r.term.Epoch(), now, ops, r.st.Value())
+}
+
+func (r *reign) carried(js []*ledger.Job, w *writing, failed []string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rec.settled(w, len(failed) == 0, r.now())
+	if lead.Deposed(failed) {
+		return lead.ErrDeposed
+	}
+	for _, f := range failed {
+		if strings.HasPrefix(f, audit.BlockPrefix) {
+			return fmt.Errorf("control: %s was written by another", f)
 		}
-		try = 0
-		r.mu.Lock()
-		for _, j := range js {
-			// A live key that is not as it was is gone: its user withdrew the
-			// job, for it cannot have been done.
-			if len(failed) == 0 || slices.Contains(failed, ledger.LiveKey(j.Ref)) {
-				r.withdraw(j.Ref)
-			}
+	}
+	for _, j := range js {
+		// A live key that is not as it was is gone: its user withdrew the
+		// job, for it cannot have been done.
+		if len(failed) == 0 || slices.Contains(failed, ledger.LiveKey(j.Ref)) {
+			r.withdraw(j.Ref)
 		}
-		r.mu.Unlock()
 	}
-	return ctx.Err()
+	return nil
 }
 
 // lift is what a job has from those that need it: the highest rank among them,
@@ -160,6 +213,11 @@
 			}
 		}
 	}
+	if o := j.Origin; o != nil && o.Cap != "" {
+		// However high those that need it: not above what whoever submitted it may
+		// have. That is at least what was asked for, or it was not accepted.
+		l.Rank = max(l.Rank, rankOf(o.Cap))
+	}
 	j.Lift = l
 	return l
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -15,7 +15,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"rillflow/internal/agent"
+	"rillflow/internal/audit"
 	"rillflow/internal/fleet"
+	"rillflow/internal/keyring"
 	"rillflow/internal/lead"
 	"rillflow/internal/ledger"
 	"rillflow/internal/placement"
@@ -35,6 +37,7 @@
 	types  *fleet.Catalogue
 	parts  Parts
 	full   func() bool
+	ring   *keyring.Ring
 	log    *slog.Logger
 	now    func() time.Time
 	cur    atomic.Pointer[reign]
@@ -71,13 +74,14 @@
 	Elector  *lead.Elector
 	Types    *fleet.Catalogue
 	Parts    Parts
-	Full     func() bool // whether memory is short
+	Full     func() bool   // whether memory is short
+	Ring     *keyring.Ring // what the audit record is sealed with; nil: none is kept
 	Log      *slog.Logger
 }
 
 // New makes a Control.
 func New(d Deps) *Control {
-	return &Control{set: d.Settings, st: d.State, cloud: d.Cloud, direct: d.Direct, el: d.Elector, types: d.Types, parts: d.Parts, full: d.Full, log: d.Log, now: time.Now}
+	return &Control{set: d.Settings, st: d.State, cloud: d.Cloud, direct: d.Direct, el: d.Elector, types: d.Types, parts: d.Parts, full: d.Full, ring: d.Ring, log: d.Log, now: time.Now}
 }
 
 // reign is the state of one term. Everything below mu is guarded by it.
@@ -106,6 +110,7 @@
 	heard  time.Time // last beat of any host
 	took   *latencies
 	quiet  *silence.Watch
+	rec    *record   // nil: no audit record is kept
 	tidied time.Time // when what nothing waits for was last written, or could have been
 }
 
@@ -124,16 +129,25 @@
 		rents:  fleet.NewPlanner(c.set, term.First), ahead: make(map[string]bool),
 		quiet: newQuiet(c.set),
 	}
+	if c.ring != nil {
+		r.rec = &record{ring: c.ring, node: c.set.Node, log: c.log, slips: make(map[string]slip)}
+	}
 	c.cur.Store(r)
 	defer c.cur.CompareAndSwap(r, nil)
 	gen, err := r.load(gctx)
 	if err != nil {
 		return fmt.Errorf("load: %w", err)
 	}
+	if err := r.rec.open(gctx, c.st, c.set.Report()); err != nil {
+		return fmt.Errorf("audit record: %w", err)
+	}
+	r.mu.Lock()
+	r.rec.note(c.now(), audit.Entry{Act: audit.TookOver, On: c.set.Node, Why: fmt.Sprintf("epoch %d", term.First)})
+	r.mu.Unlock()
 	close(r.ready)
 	for _, duty := range []func(context.Context) error{
 		func(ctx context.Context) error { return r.follow(ctx, gen) },
-		r.flush, r.plan, r.chain, r.tend, r.raise, r.rent, r.reclaim, r.watchParts,
+		r.flush, r.plan, r.chain, r.tend, r.raise, r.rent, r.reclaim, r.watchParts, r.collect,
 	} {
 		g.Go(func() error { return duty(gctx) })
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -10,6 +10,7 @@
 
 	"rillflow/internal/agent"
 	"rillflow/internal/fleet"
+	"rillflow/internal/lead"
 	"rillflow/internal/ledger"
 	"rillflow/internal/settings"
 	"rillflow/internal/state"
@@ -294,6 +295,7 @@
 // Where something urgent is always to be written, the rest still has its turn.
 func TestIdleWritesHaveTheirTurn(t *testing.T) {
 	r := term(t)
+	r.term = &held{lead.Map{Epoch: 1}}
 	at := now
 	r.now = func() time.Time { return at }
 	r.set.Facts.State = settings.State{WriteRPS: 1000, TxnOps: 4, ValueKB: 16}
@@ -308,11 +310,11 @@
 	}
 	c := claim(old)
 	commit := func() []string {
-		b, wait := r.batch()
-		if wait > 0 || b == nil {
-			t.Fatalf("no batch, wait %v", wait)
+		b, wait, err := r.batch()
+		if wait > 0 || b == nil || err != nil {
+			t.Fatalf("no batch, wait %v, %v", wait, err)
 		}
-		r.led.Committed(b, 5)
+		r.led.Committed(b.Batch, 5)
 		return b.Refs()
 	}
 	commit()
--- a/internal/control/evacuate.go
+++ b/internal/control/evacuate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rillflow/internal/audit"
 	"rillflow/internal/ledger"
 	"rillflow/internal/wire"
 )
@@ -22,6 +23,7 @@
 				continue
 			}
 			c.Stopping = true
+			r.rec.task(now, audit.Stopped, c, "the cloud takes the machine", "")
 			h.Nudge()
 			r.log.Debug("evacuated", "task", c.Task(), "host", h.Name, "left_s", left)
 		}
--- a/internal/control/flush.go
+++ b/internal/control/flush.go
@@ -41,17 +41,16 @@
 			return err
 		}
 		for try := 0; ; {
-			b, wait := r.batch()
+			w, wait, err := r.next(ctx)
 			if wait > 0 {
 				if !r.until(ctx, wait) {
 					return ctx.Err()
 				}
 				continue
 			}
-			if b == nil {
+			if w == nil && err == nil {
 				break
 			}
-			err := r.commit(ctx, b)
 			if errors.Is(err, state.ErrRefused) {
 				if !state.Backoff(ctx, try, r.set.Report()/64, r.set.Report()/4) {
 					return ctx.Err()
@@ -67,15 +66,50 @@
 	}
 }
 
+// next makes and commits the next batch, or tells how long until there is room.
+func (r *reign) next(ctx context.Context) (*writing, time.Duration, error) {
+	if r.rec != nil {
+		r.rec.turn.Lock()
+		defer r.rec.turn.Unlock()
+	}
+	w, wait, err := r.batch()
+	if w == nil || err != nil {
+		return nil, wait, err
+	}
+	return w, 0, r.commit(ctx, w)
+}
+
 // batch makes the next batch that the budget has room for, or tells how long
 // until there is room.
-func (r *reign) batch() (*ledger.Batch, time.Duration) {
+func (r *reign) batch() (*writing, time.Duration, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.led.Empty() {
-		return nil, 0
-	}
 	now := r.now()
+	ops, value := r.set.Facts.State.Least().TxnOps, r.st.Value()
+	alone := r.rec.heavy(value) || r.led.Empty() && r.rec.due(now, r.set.Report()/2)
+	if r.led.Empty() && !alone {
+		return nil, 0, nil
+	}
+	b, wait := &ledger.Batch{}, time.Duration(0)
+	if alone {
+		_, wait = r.st.WriteRoom(1, keepUrgent)
+	} else {
+		b, wait = r.changes(ops, value, now)
+	}
+	if b == nil || wait > 0 {
+		return nil, wait, nil
+	}
+	w := &writing{Batch: b}
+	if alone || len(b.Apply) > 0 {
+		if err := r.rec.attach(w, r.term.Epoch(), now, ops, value); err != nil {
+			return nil, 0, err
+		}
+	}
+	return w, 0, nil
+}
+
+// changes are what the ledger has to write.
+func (r *reign) changes(ops, value int, now time.Time) (*ledger.Batch, time.Duration) {
 	keep, urgent := keepIdle, r.led.Urgent()
 	if urgent {
 		keep = keepUrgent
@@ -86,7 +120,11 @@
 	if wait > 0 {
 		return nil, wait
 	}
-	lim := ledger.Limits{Ops: min(room, r.set.Facts.State.Least().TxnOps), Bytes: txnBytes, Value: r.st.Value(), Urgent: urgent}
+	lim := ledger.Limits{Ops: min(room, ops), Bytes: txnBytes, Value: value, Urgent: urgent}
+	if r.rec != nil {
+		// A change less, for the block that tells of the batch.
+		lim.Ops, lim.Block, lim.Claims = max(lim.Ops-1, leastOps), r.rec.head.Seq+1, (value-blockRoom)/perClaim
+	}
 	if urgent && now.Sub(r.tidied) > r.set.Report()/2 {
 		// Where something is always urgent, the rest would never be written,
 		// and what is left of jobs that are over would add up.
@@ -138,7 +176,7 @@
 
 // commit sees one batch through until its fate is known. A nil error means
 // that the ledger was told; ErrRefused, that the batch is to be made again.
-func (r *reign) commit(ctx context.Context, b *ledger.Batch) error {
+func (r *reign) commit(ctx context.Context, b *writing) error {
 	if len(b.Apply) == 0 {
 		r.committed(b, 0)
 		return nil
@@ -169,9 +207,7 @@
 			// What is too large is never to be sent again as it is, not even
 			// to learn whether it was applied before the limits fell: the
 			// batch made instead has the same guards and tells.
-			r.mu.Lock()
-			r.led.Failed(b)
-			r.mu.Unlock()
+			r.unwritten(b)
 			return err
 		case errors.Is(err, state.ErrUnknown):
 			unsure = true
@@ -183,14 +219,17 @@
 }
 
 // rejected deals with guards that did not hold.
-func (r *reign) rejected(b *ledger.Batch, failed []string) error {
+func (r *reign) rejected(b *writing, failed []string) error {
 	if lead.Deposed(failed) {
 		return lead.ErrDeposed
 	}
+	r.unwritten(b)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.led.Failed(b)
 	for _, f := range failed {
+		if r.rec.gone(f) {
+			continue
+		}
 		ref, ok := strings.CutPrefix(f, ledger.LivePrefix)
 		if !ok {
 			return fmt.Errorf("control: %s was written by another", f)
@@ -202,7 +241,10 @@
 
 // applied reads back whether a batch of unknown fate was applied, and at which
 // generation.
-func (r *reign) applied(ctx context.Context, b *ledger.Batch) (uint64, bool, error) {
+func (r *reign) applied(ctx context.Context, b *writing) (uint64, bool, error) {
+	if len(b.blocks) > 0 {
+		return b.mine(ctx, r.st)
+	}
 	for _, ch := range b.Apply {
 		key := ch.Put + ch.Remove
 		if strings.HasPrefix(key, ledger.LivePrefix) {
@@ -233,10 +275,19 @@
 	return 0, true, nil
 }
 
-func (r *reign) committed(b *ledger.Batch, gen uint64) {
+// unwritten notes that a batch was surely not applied.
+func (r *reign) unwritten(b *writing) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.led.Failed(b.Batch)
+	r.rec.settled(b, false, r.now())
+}
+
+func (r *reign) committed(b *writing, gen uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	res := r.led.Committed(b, gen)
+	r.rec.settled(b, true, r.now())
+	res := r.led.Committed(b.Batch, gen)
 	for _, h := range res.Claims {
 		if host := r.hosts[h.Host]; host != nil && !h.Over {
 			host.Nudge()
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rillflow/internal/agent"
+	"rillflow/internal/audit"
 	"rillflow/internal/ledger"
 	"rillflow/internal/state"
 	"rillflow/internal/wire"
@@ -197,7 +198,7 @@
 	// any launch carried.
 	for t, c := range claims {
 		if _, there := seen[t]; !there && (c.Job.Withdrawn || c.Stopping) && !h.InFlight && h.Epoch > c.SentEpoch {
-			r.led.Free(c, now)
+			r.lost(c, "no launch can reach the machine")
 		}
 	}
 }
@@ -232,7 +233,7 @@
 	}
 	r.log.Debug("ended", "task", c.Task(), "host", h.Name, "cause", cause)
 	if j.Withdrawn {
-		r.led.Free(c, now)
+		r.lost(c, "ended, withdrawn")
 		return
 	}
 	if j.Gang() && cause != wire.CauseDone {
@@ -240,6 +241,7 @@
 		for _, o := range r.led.HeldBy(j) {
 			if o != c && !o.Over {
 				o.Stopping = true
+				r.rec.task(now, audit.Stopped, o, "a member of the gang ended", "")
 				if host := r.hosts[o.Host]; host != nil {
 					host.Nudge()
 				}
@@ -249,7 +251,7 @@
 	switch cause {
 	case wire.CauseDone:
 		if j.Spec.Shape == wire.Standing {
-			r.led.Free(c, now)
+			r.lost(c, "ended")
 			return
 		}
 		h.Errors = nil
@@ -268,17 +270,17 @@
 		}
 		r.led.Finish(c)
 	case wire.CauseError:
-		r.led.Free(c, now)
+		r.lost(c, "failed")
 		r.failed(j, h, now)
 	case wire.CauseNoRoom:
-		r.led.Free(c, now)
+		r.lost(c, "refused: no room")
 		h.Sulking = now.Add(r.set.Report())
 	case wire.CauseInUse, wire.CauseUnknown:
-		r.led.Free(c, now)
+		r.lost(c, "refused: "+cause)
 		j.Fails++
 		j.RetryAt = now.Add(r.pause(j.Fails))
 	default: // halted
-		r.led.Free(c, now)
+		r.lost(c, "halted")
 	}
 }
 
@@ -336,7 +338,9 @@
 // lost frees a claim on proof that its task is gone.
 func (r *reign) lost(c *ledger.Held, why string) {
 	r.log.Debug("task lost", "task", c.Task(), "host", c.Host, "why", why)
-	r.led.Free(c, r.now())
+	now := r.now()
+	r.rec.task(now, audit.Lost, c, why, "")
+	r.led.Free(c, now)
 }
 
 // fence asks for a higher epoch when a host waits for one.
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rillflow/internal/agent"
+	"rillflow/internal/audit"
 	"rillflow/internal/fleet"
 	"rillflow/internal/lead"
 	"rillflow/internal/ledger"
@@ -199,6 +200,7 @@
 			if len(r.led.OnHost(name)) == 0 {
 				bad = append(bad, name)
 				r.log.Info("returning", "host", name, "why", "idle")
+				r.rec.note(now, audit.Entry{Act: audit.Returned, On: name, Why: "idle"})
 			}
 		}
 		bad = bad[:min(len(bad), maxRelease)]
@@ -259,6 +261,7 @@
 			m.take(j)
 			moved[j.Ref] = true
 			c.Stopping = true
+			r.rec.task(now, audit.Stopped, c, "its machine is drained", "")
 			h.Nudge()
 		}
 	}
@@ -434,6 +437,7 @@
 		}
 		if why != "again" {
 			r.log.Info("returning", "host", h.Name, "why", why, "claims", len(claims))
+			r.rec.note(now, audit.Entry{Act: audit.Returned, On: h.Name, Why: why})
 		}
 		out = append(out, h.Name)
 	}
--- a/internal/intake/check_test.go
+++ b/internal/intake/check_test.go
@@ -94,7 +94,7 @@
 func TestMemoryIsBounded(t *testing.T) {
 	m := newMemory(3)
 	for _, r := range []string{"a", "b", "a", "c", "d"} {
-		m.put(r, wire.Phase{Ref: r})
+		m.put(r, known{Phase: wire.Phase{Ref: r}})
 	}
 	if _, ok := m.get("a"); ok || len(m.m) != 3 {
 		t.Errorf("%d kept", len(m.m))
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -9,12 +9,16 @@
 	"log/slog"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"rillflow/internal/access"
 	"rillflow/internal/fleet"
+	"rillflow/internal/identity"
 	"rillflow/internal/ledger"
+	"rillflow/internal/rights"
 	"rillflow/internal/settings"
 	"rillflow/internal/state"
 	"rillflow/internal/wire"
@@ -31,17 +35,24 @@
 	counts func(ctx context.Context, ref string) (done, running int, ok bool)
 	down   func() bool
 	full   func() bool
+	door   *access.Door
 	log    *slog.Logger
 	now    func() time.Time
 	ended  *memory
 	batch  *memory // jobs seen accepted that are no services
 }
 
+// known is what is told of a job, with whose it is where identities are on.
+type known struct {
+	wire.Phase
+	owner string
+}
+
 // New makes the users' side. counts tells a live job's counts where known; down
 // whether the state service has not answered for long; full whether memory is
-// short.
-func New(set *settings.Settings, st *state.Client, types *fleet.Catalogue, counts func(context.Context, string) (int, int, bool), down, full func() bool, log *slog.Logger) *Users {
-	return &Users{set: set, st: st, types: types, counts: counts, down: down, full: full, log: log, now: time.Now, ended: newMemory(4096), batch: newMemory(4096)}
+// short; door who may do what.
+func New(set *settings.Settings, st *state.Client, types *fleet.Catalogue, counts func(context.Context, string) (int, int, bool), down, full func() bool, door *access.Door, log *slog.Logger) *Users {
+	return &Users{set: set, st: st, types: types, counts: counts, down: down, full: full, door: door, log: log, now: time.Now, ended: newMemory(4096), batch: newMemory(4096)}
 }
 
 // again tells whether to ask the state service once more after an error. What
@@ -97,6 +108,10 @@
 	}
 	ctx, cancel := u.patience(r, 2*time.Second)
 	defer cancel()
+	who, ok := u.who(w, r)
+	if !ok {
+		return
+	}
 	job, ref, bad := Parse(body)
 	status := http.StatusBadRequest
 	if bad == nil {
@@ -104,11 +119,18 @@
 		status = http.StatusUnprocessableEntity
 	}
 	if bad != nil {
-		u.refuse(ctx, w, ref, status, bad)
+		u.refuse(ctx, w, who, ref, status, bad)
+		return
+	}
+	ask := rights.Request{Do: rights.Submit, Owner: job.Owner, Rank: job.Rank}
+	dec := u.door.May(who, ask)
+	if !dec.Allowed {
+		u.door.Refused(who, ask, ref, dec.Rule)
+		u.refuse(ctx, w, who, ref, http.StatusForbidden, errors.New(dec.Rule))
 		return
 	}
 	if p, ok := u.ended.get(ref); ok {
-		reply(w, http.StatusOK, p)
+		u.tell(w, who, p)
 		return
 	}
 	if u.full() {
@@ -119,11 +141,18 @@
 	}
 	began := u.now()
 	var fresh bool
-	if bad, err = u.needs(ctx, &job); bad == nil && err == nil {
-		fresh, bad, err = u.accept(ctx, job)
+	if bad, err = u.needs(ctx, who, &job); bad == nil && err == nil {
+		fresh, bad, err = u.accept(ctx, job, who, dec)
 	}
 	if bad != nil {
-		u.refuse(ctx, w, ref, http.StatusUnprocessableEntity, bad)
+		status := http.StatusUnprocessableEntity
+		if errors.Is(bad, errDenied) {
+			status = http.StatusForbidden
+		}
+		u.refuse(ctx, w, who, ref, status, bad)
+		return
+	}
+	if u.unauthorized(w, err) {
 		return
 	}
 	if err != nil {
@@ -132,7 +161,7 @@
 		return
 	}
 	if fresh {
-		u.log.Info("accepted", "job", ref, "class", job.Class, "owner", job.Owner, "tasks", job.Members, "cores", job.Cores, "ram_gb", job.RAM, "expect_s", job.ExpectS, "due_s", job.DueS, "waits_on", job.Needs, "bundle", job.Bundle, "size_gb", job.SizeGB, "took_ms", u.now().Sub(began).Milliseconds())
+		u.log.Info("accepted", "job", ref, "who", who.Name, "class", job.Class, "owner", job.Owner, "tasks", job.Members, "cores", job.Cores, "ram_gb", job.RAM, "expect_s", job.ExpectS, "due_s", job.DueS, "waits_on", job.Needs, "bundle", job.Bundle, "size_gb", job.SizeGB, "took_ms", u.now().Sub(began).Milliseconds())
 		reply(w, http.StatusCreated, wire.Phase{Ref: ref, Phase: wire.Queued})
 		return
 	}
@@ -141,16 +170,47 @@
 		busy(w, "state service")
 		return
 	}
-	reply(w, http.StatusOK, p)
+	u.tell(w, who, p)
+}
+
+// who finds out who makes a request, or answers it.
+func (u *Users) who(w http.ResponseWriter, r *http.Request) (identity.Caller, bool) {
+	c, err := u.door.Who(r)
+	return c, !u.unauthorized(w, err)
+}
+
+// unauthorized answers a request whose token does not hold, or cannot be checked.
+func (u *Users) unauthorized(w http.ResponseWriter, err error) bool {
+	switch {
+	case errors.Is(err, identity.ErrToken):
+		w.Header().Set("WWW-Authenticate", `Bearer realm="rillflow"`)
+		reply(w, http.StatusUnauthorized, wire.Error{Error: identity.ErrToken.Error()})
+	case errors.Is(err, identity.ErrStale):
+		later(w, "identities cannot be checked", u.set.Report())
+	default:
+		return false
+	}
+	return true
+}
+
+// tell answers with a job's state, if the caller may know it.
+func (u *Users) tell(w http.ResponseWriter, who identity.Caller, p known) {
+	ask := rights.Request{Do: rights.Read, Owner: p.owner}
+	if dec := u.door.May(who, ask); !dec.Allowed {
+		u.door.Refused(who, ask, p.Ref, dec.Rule)
+		reply(w, http.StatusForbidden, wire.Error{Error: dec.Rule})
+		return
+	}
+	reply(w, http.StatusOK, p.Phase)
 }
 
 // refuse answers a submission that cannot be taken. A job that is known is never
 // refused, whatever this body says.
-func (u *Users) refuse(ctx context.Context, w http.ResponseWriter, ref string, status int, bad error) {
+func (u *Users) refuse(ctx context.Context, w http.ResponseWriter, who identity.Caller, ref string, status int, bad error) {
 	if ref != "" {
 		p, err := u.lookup(ctx, ref)
 		if err == nil {
-			reply(w, http.StatusOK, p)
+			u.tell(w, who, p)
 			return
 		}
 		if !errors.Is(err, state.ErrNotFound) {
@@ -173,9 +233,13 @@
 // this call that did, or why the job can never be stored. Guards on both keys
 // decide between concurrent calls, and between an answer that was lost and its
 // repetition.
-func (u *Users) accept(ctx context.Context, job wire.Job) (fresh bool, bad, err error) {
+func (u *Users) accept(ctx context.Context, job wire.Job, who identity.Caller, dec rights.Decision) (fresh bool, bad, err error) {
 	now, least := u.set.Facts.State, u.set.Facts.State.Least()
-	data, err := ledger.Encode(ledger.Record{Job: job, AtMS: u.now().UnixMilli(), Chunk: ledger.ChunkTasks(now.ValueKB, least.ValueKB)})
+	rec := ledger.Record{Job: job, AtMS: u.now().UnixMilli(), Chunk: ledger.ChunkTasks(now.ValueKB, least.ValueKB)}
+	if err := u.door.Enter(&rec, who, dec); err != nil {
+		return false, nil, err
+	}
+	data, err := ledger.Encode(rec)
 	if err != nil {
 		return false, nil, err
 	}
@@ -187,12 +251,17 @@
 	}
 	for try := 0; ; try++ {
 		_, failed, err := u.st.Commit(ctx, wire.Commit{
-			Guards: []wire.Guard{{Path: ledger.LiveKey(job.Ref)}, {Path: ledger.EndedKey(job.Ref)}},
+			Guards: append([]wire.Guard{{Path: ledger.LiveKey(job.Ref)}, {Path: ledger.EndedKey(job.Ref)}}, who.Guards...),
 			Apply:  []wire.Change{{Put: ledger.LiveKey(job.Ref), Data: data}},
 		})
+		if err == nil && identity.Touched(failed) && !slices.Contains(failed, ledger.LiveKey(job.Ref)) && !slices.Contains(failed, ledger.EndedKey(job.Ref)) {
+			// Withdrawn since the token was checked, or only changed: the next
+			// try is judged by what it is then.
+			return false, nil, identity.ErrToken
+		}
 		if err == nil {
 			if len(failed) == 0 && job.Shape != wire.Standing {
-				u.batch.put(job.Ref, wire.Phase{})
+				u.batch.put(job.Ref, known{owner: job.Owner})
 			}
 			return len(failed) == 0, nil, nil
 		}
@@ -204,12 +273,12 @@
 
 // lookup reads a job's state. ErrNotFound means that it was not accepted when
 // the live key was read: a job goes only from live to ended.
-func (u *Users) lookup(ctx context.Context, ref string) (wire.Phase, error) {
+func (u *Users) lookup(ctx context.Context, ref string) (known, error) {
 	if p, ok := u.ended.get(ref); ok {
 		return p, nil
 	}
 	if u.down() {
-		return wire.Phase{}, state.ErrRefused
+		return known{}, state.ErrRefused
 	}
 	for try := 0; ; try++ {
 		p, err := u.read(ctx, ref)
@@ -222,35 +291,42 @@
 	}
 }
 
-func (u *Users) read(ctx context.Context, ref string) (wire.Phase, error) {
-	_, err := u.st.Get(ctx, ledger.LiveKey(ref))
+func (u *Users) read(ctx context.Context, ref string) (known, error) {
+	it, err := u.st.Get(ctx, ledger.LiveKey(ref))
 	if err == nil {
-		p := wire.Phase{Ref: ref, Phase: wire.Queued}
+		p := known{Phase: wire.Phase{Ref: ref, Phase: wire.Queued}}
+		if !u.door.Open() {
+			rec, err := ledger.DecodeRecord(it.Data)
+			if err != nil {
+				return known{}, fmt.Errorf("intake: %s: %w", ref, err)
+			}
+			p.owner = rec.Job.Owner
+		}
 		if done, running, ok := u.counts(ctx, ref); ok {
 			p.Done, p.Running = &done, &running
 			if running > 0 {
-				p.Phase = wire.Running
+				p.Phase.Phase = wire.Running
 			}
 		}
 		return p, nil
 	}
 	if !errors.Is(err, state.ErrNotFound) {
-		return wire.Phase{}, err
+		return known{}, err
 	}
-	it, err := u.st.Get(ctx, ledger.EndedKey(ref))
+	it, err = u.st.Get(ctx, ledger.EndedKey(ref))
 	if err != nil {
-		return wire.Phase{}, err
+		return known{}, err
 	}
 	var e ledger.Ending
 	if err := json.Unmarshal(it.Data, &e); err != nil {
-		return wire.Phase{}, fmt.Errorf("intake: %s: %w", ref, err)
+		return known{}, fmt.Errorf("intake: %s: %w", ref, err)
 	}
 	return u.remember(ref, e), nil
 }
 
-func (u *Users) remember(ref string, e ledger.Ending) wire.Phase {
+func (u *Users) remember(ref string, e ledger.Ending) known {
 	zero := 0
-	p := wire.Phase{Ref: ref, Phase: e.Phase, Running: &zero}
+	p := known{wire.Phase{Ref: ref, Phase: e.Phase, Running: &zero}, e.Owner}
 	if e.Phase == wire.Done {
 		p.Done = &e.Tasks
 	}
@@ -264,12 +340,16 @@
 		reply(w, http.StatusNotFound, wire.Error{Error: "no such job"})
 		return
 	}
+	who, ok := u.who(w, r)
+	if !ok {
+		return
+	}
 	ctx, cancel := u.patience(r, 1500*time.Millisecond)
 	defer cancel()
 	p, err := u.lookup(ctx, ref)
 	switch {
 	case err == nil:
-		reply(w, http.StatusOK, p)
+		u.tell(w, who, p)
 	case errors.Is(err, state.ErrNotFound):
 		reply(w, http.StatusNotFound, wire.Error{Error: "no such job"})
 	default:
@@ -283,13 +363,22 @@
 		reply(w, http.StatusNotFound, wire.Error{Error: "no such job"})
 		return
 	}
+	who, ok := u.who(w, r)
+	if !ok {
+		return
+	}
 	ctx, cancel := u.patience(r, 2*time.Second)
 	defer cancel()
 	for try := 0; ; try++ {
-		p, err := u.end(ctx, ref)
+		p, err := u.end(ctx, who, ref)
 		switch {
 		case err == nil:
-			reply(w, http.StatusOK, p)
+			reply(w, http.StatusOK, p.Phase)
+			return
+		case errors.Is(err, errDenied):
+			reply(w, http.StatusForbidden, wire.Error{Error: err.Error()})
+			return
+		case u.unauthorized(w, err):
 			return
 		case errors.Is(err, state.ErrNotFound):
 			reply(w, http.StatusNotFound, wire.Error{Error: "no such job"})
@@ -305,63 +394,93 @@
 
 // end withdraws a live job, once. The live key's stamp guards against the
 // leader's claims and its last finish: whichever commits first holds.
-func (u *Users) end(ctx context.Context, ref string) (wire.Phase, error) {
+func (u *Users) end(ctx context.Context, who identity.Caller, ref string) (known, error) {
 	if p, ok := u.ended.get(ref); ok {
-		return p, nil
+		_, err := u.may(who, rights.Withdraw, p.owner, ref)
+		return p, err
 	}
 	if u.down() {
-		return wire.Phase{}, state.ErrRefused
+		return known{}, state.ErrRefused
 	}
 	it, err := u.st.Get(ctx, ledger.LiveKey(ref))
 	if errors.Is(err, state.ErrNotFound) {
-		return u.read(ctx, ref)
+		p, err := u.read(ctx, ref)
+		if err == nil {
+			_, err = u.may(who, rights.Withdraw, p.owner, ref)
+		}
+		return p, err
 	}
 	if err != nil {
-		return wire.Phase{}, err
+		return known{}, err
 	}
 	rec, err := ledger.DecodeRecord(it.Data)
 	if err != nil {
-		return wire.Phase{}, fmt.Errorf("intake: %s: %w", ref, err)
+		return known{}, fmt.Errorf("intake: %s: %w", ref, err)
+	}
+	dec, err := u.may(who, rights.Withdraw, rec.Job.Owner, ref)
+	if err != nil {
+		return known{}, err
 	}
 	e := ledger.WithdrawnEnding(&rec, u.now())
 	data, err := ledger.Encode(e)
 	if err != nil {
-		return wire.Phase{}, err
+		return known{}, err
+	}
+	told, err := u.door.Leave(rec, who, dec)
+	if err != nil {
+		return known{}, err
 	}
 	_, failed, err := u.st.Commit(ctx, wire.Commit{
-		Guards: []wire.Guard{{Path: ledger.LiveKey(ref), Stamp: it.Stamp}},
-		Apply:  []wire.Change{{Remove: ledger.LiveKey(ref)}, {Put: ledger.EndedKey(ref), Data: data}},
+		Guards: append([]wire.Guard{{Path: ledger.LiveKey(ref), Stamp: it.Stamp}}, who.Guards...),
+		Apply:  append([]wire.Change{{Remove: ledger.LiveKey(ref)}, {Put: ledger.EndedKey(ref), Data: data}}, told...),
 	})
 	if err != nil {
-		return wire.Phase{}, err
+		return known{}, err
+	}
+	if slices.Contains(failed, ledger.LiveKey(ref)) {
+		return known{}, errMoved
 	}
 	if len(failed) > 0 {
-		return wire.Phase{}, errMoved
+		return known{}, identity.ErrToken
 	}
 	return u.remember(ref, e), nil
 }
 
+// errDenied: no rule allows it.
+var errDenied = errors.New("not allowed")
+
+// may decides on a deed, and notes it where it is not allowed.
+func (u *Users) may(who identity.Caller, do, owner, ref string) (rights.Decision, error) {
+	ask := rights.Request{Do: do, Owner: owner}
+	dec := u.door.May(who, ask)
+	if dec.Allowed {
+		return dec, nil
+	}
+	u.door.Refused(who, ask, ref, dec.Rule)
+	return dec, fmt.Errorf("%w: %s %s: %s", errDenied, do, ref, dec.Rule)
+}
+
 // memory keeps final states, which never change, up to a number of them.
 type memory struct {
 	mu   sync.Mutex
 	max  int
-	m    map[string]wire.Phase
+	m    map[string]known
 	ring []string
 	next int
 }
 
 func newMemory(n int) *memory {
-	return &memory{max: n, m: make(map[string]wire.Phase), ring: make([]string, n)}
+	return &memory{max: n, m: make(map[string]known), ring: make([]string, n)}
 }
 
-func (m *memory) get(ref string) (wire.Phase, bool) {
+func (m *memory) get(ref string) (known, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p, ok := m.m[ref]
 	return p, ok
 }
 
-func (m *memory) put(ref string, p wire.Phase) {
+func (m *memory) put(ref string, p known) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if _, ok := m.m[ref]; !ok {
--- a/internal/intake/needs.go
+++ b/internal/intake/needs.go
@@ -9,7 +9,9 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"rillflow/internal/identity"
 	"rillflow/internal/ledger"
+	"rillflow/internal/rights"
 	"rillflow/internal/state"
 	"rillflow/internal/wire"
 )
@@ -24,7 +26,7 @@
 // needs looks the jobs up that a submission names. Those that are done are left
 // out of what is kept, for they will stay so. bad tells why the job can never
 // run; err, that it cannot be decided now.
-func (u *Users) needs(ctx context.Context, job *wire.Job) (bad, err error) {
+func (u *Users) needs(ctx context.Context, who identity.Caller, job *wire.Job) (bad, err error) {
 	if len(job.Needs) == 0 {
 		return nil, nil
 	}
@@ -40,7 +42,11 @@
 	g.SetLimit(lookups)
 	for i, ref := range job.Needs {
 		g.Go(func() (err error) {
-			open[i], bads[i], err = u.need(gctx, ref)
+			var owner string
+			if open[i], owner, bads[i], err = u.need(gctx, ref); err == nil && bads[i] == nil {
+				// What is waited for is lifted by what waits: not everybody may.
+				_, bads[i] = u.may(who, rights.Need, owner, ref)
+			}
 			return err
 		})
 	}
@@ -62,55 +68,55 @@
 
 // need looks one job up, and tells whether it is still to be waited for. A
 // withdrawn one is: the leader sees to what becomes of those after it.
-func (u *Users) need(ctx context.Context, ref string) (open bool, bad, err error) {
-	if p, ok := u.ended.get(ref); ok && p.Phase == wire.Done {
-		return false, nil, nil
+func (u *Users) need(ctx context.Context, ref string) (open bool, owner string, bad, err error) {
+	if p, ok := u.ended.get(ref); ok && p.Phase.Phase == wire.Done {
+		return false, p.owner, nil, nil
 	}
-	if _, ok := u.batch.get(ref); ok {
-		return true, nil, nil // that it was accepted stays true; whether it is over, the leader sees
+	if p, ok := u.batch.get(ref); ok {
+		return true, p.owner, nil, nil // that it was accepted stays true; whether it is over, the leader sees
 	}
 	if u.down() {
-		return false, nil, state.ErrRefused
+		return false, "", nil, state.ErrRefused
 	}
 	for try := 0; ; try++ {
-		open, bad, err = u.find(ctx, ref)
+		open, owner, bad, err = u.find(ctx, ref)
 		if err == nil || !u.again(ctx, err, try) {
-			return open, bad, err
+			return open, owner, bad, err
 		}
 	}
 }
 
-func (u *Users) find(ctx context.Context, ref string) (open bool, bad, err error) {
+func (u *Users) find(ctx context.Context, ref string) (open bool, owner string, bad, err error) {
 	service := fmt.Errorf("waits_on: %s is a service", ref)
 	it, err := u.st.Get(ctx, ledger.LiveKey(ref))
 	if err == nil {
 		rec, err := ledger.DecodeRecord(it.Data)
 		if err == nil && rec.Job.Shape == wire.Standing {
-			return false, service, nil
+			return false, "", service, nil
 		}
 		if err == nil {
-			u.batch.put(ref, wire.Phase{})
+			u.batch.put(ref, known{owner: rec.Job.Owner})
 		}
-		return true, nil, err
+		return true, rec.Job.Owner, nil, err
 	}
 	if !errors.Is(err, state.ErrNotFound) {
-		return false, nil, err
+		return false, "", nil, err
 	}
 	// A job goes from live to ended, so what is neither was never accepted.
 	it, err = u.st.Get(ctx, ledger.EndedKey(ref))
 	if errors.Is(err, state.ErrNotFound) {
-		return false, fmt.Errorf("waits_on: %s was never accepted", ref), nil
+		return false, "", fmt.Errorf("waits_on: %s was never accepted", ref), nil
 	}
 	if err != nil {
-		return false, nil, err
+		return false, "", nil, err
 	}
 	var e ledger.Ending
 	if err := json.Unmarshal(it.Data, &e); err != nil {
-		return false, nil, fmt.Errorf("intake: %s: %w", ref, err)
+		return false, "", nil, fmt.Errorf("intake: %s: %w", ref, err)
 	}
 	u.remember(ref, e)
 	if e.Job.Shape == wire.Standing {
-		return false, service, nil
+		return false, "", service, nil
 	}
-	return e.Phase != wire.Done, nil, nil
+	return e.Phase != wire.Done, e.Owner, nil, nil
 }
--- a/internal/intake/needs_test.go
+++ b/internal/intake/needs_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -15,6 +14,7 @@
 	"testing"
 	"time"
 
+	"rillflow/internal/access"
 	"rillflow/internal/fleet"
 	"rillflow/internal/ledger"
 	"rillflow/internal/settings"
@@ -76,7 +76,7 @@
 	st := state.New(state.Options{Addr: strings.TrimPrefix(srv.URL, "http://"), RPS: 1e4, Limits: state.Limits{WriteRPS: 1e4}, Timeout: 5 * time.Second, Dial: d.DialContext})
 	types := fleet.NewCatalogue(nil, time.Minute, nil)
 	types.Set([]wire.MachineType{{Label: "g8", Cores: 96, Accel: 8, RAM: 768, Locales: []string{"a"}}})
-	u := New(set, st, types, func(context.Context, string) (int, int, bool) { return 0, 0, false }, func() bool { return false }, func() bool { return false }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	u := New(set, st, types, func(context.Context, string) (int, int, bool) { return 0, 0, false }, func() bool { return false }, func() bool { return false }, access.New(set, st, nil, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
 	mux := http.NewServeMux()
 	u.Routes(mux)
 	return u, mux
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -53,6 +53,10 @@
 	Value int // bytes of one value
 	// Urgent leaves out what nothing waits for, Idle all else.
 	Urgent, Idle bool
+	// Block is the audit record's that is to tell of the batch's claims and ends,
+	// and Claims about how many claims it has room for; 0: no record is kept.
+	Block  uint64
+	Claims int
 }
 
 // Next makes a batch, or nil when nothing needs writing. Until Committed or
@@ -61,7 +65,7 @@
 // tidying of jobs that are over.
 func (l *Ledger) Next(lim Limits, now time.Time) *Batch {
 	l.writes++
-	size := lim.Bytes
+	size, claims := lim.Bytes, 0
 	b := &Batch{Writer: fmt.Sprintf("%s.%d", l.writer, l.writes)}
 	slices.SortStableFunc(l.dirty, func(a, c dirtyChunk) int {
 		return l.rankOf(a) - l.rankOf(c)
@@ -77,7 +81,8 @@
 		if j.Finished && !guarded[j.Ref] {
 			need = 3
 		}
-		if len(b.Apply)+need > lim.Ops || size <= 0 || lim.Urgent && !l.urgent(d) || lim.Idle && l.urgent(d) {
+		full := size <= 0 || lim.Block != 0 && claims > 0 && claims+c.fresh > lim.Claims
+		if len(b.Apply)+need > lim.Ops || full || lim.Urgent && !l.urgent(d) || lim.Idle && l.urgent(d) {
 			left = append(left, d)
 			continue
 		}
@@ -94,6 +99,10 @@
 				b.Apply = append(b.Apply, wire.Change{Remove: key})
 			}
 		default:
+			if c.fresh > 0 {
+				c.block = lim.Block
+				claims += c.fresh
+			}
 			data, err := c.encode(b.Writer, lim.Value)
 			if err != nil {
 				// Too large even packed, which takes names of hundreds of
@@ -119,7 +128,7 @@
 			if j.Finished {
 				p.ends = true
 				p.at = now
-				end, err := Encode(Ending{Phase: wire.Done, Tasks: j.Spec.Members, Chunk: j.size, AtMS: now.UnixMilli()})
+				end, err := Encode(Ending{Phase: wire.Done, Tasks: j.Spec.Members, Chunk: j.size, AtMS: now.UnixMilli(), Owner: j.owner(), Block: lim.Block})
 				if err != nil {
 					continue
 				}
@@ -160,6 +169,32 @@
 	return rankFinish
 }
 
+// owner is the job's where identities are on: who may ask about it later.
+func (j *Job) owner() string {
+	if j.Origin == nil {
+		return ""
+	}
+	return j.Spec.Owner
+}
+
+// Decision is what a batch makes durable of a job.
+type Decision struct {
+	Job    *Job
+	Claims []*Held
+	Ends   bool
+}
+
+// Decisions are the claims and ends in the batch.
+func (b *Batch) Decisions() []Decision {
+	var ds []Decision
+	for _, p := range b.parts {
+		if len(p.claims) > 0 || p.ends {
+			ds = append(ds, Decision{p.job, p.claims, p.ends})
+		}
+	}
+	return ds
+}
+
 // Keys are the chunk keys the batch writes.
 func (b *Batch) Keys() []string {
 	var ks []string
--- a/internal/ledger/chunk.go
+++ b/internal/ledger/chunk.go
@@ -31,6 +31,7 @@
 	dirty  bool
 	fresh  int    // claims not durable yet
 	write  uint64 // number of the last write, to know one's own
+	block  uint64 // of the audit record, that tells of the last claims; 0: none
 }
 
 type bitmap []byte
@@ -61,6 +62,7 @@
 	Claims []string `json:"c,omitempty"`
 	Packed []byte   `json:"z,omitempty"` // the claims, a line each, deflated
 	Writer string   `json:"w"`
+	Block  uint64   `json:"a,omitempty"`
 }
 
 // errLarge: a chunk does not fit a value in any form.
@@ -119,7 +121,7 @@
 }
 
 func (c *chunk) plain(writer string) (json.RawMessage, error) {
-	v := chunkValue{Seq: c.seq, Done: base64.RawStdEncoding.EncodeToString(c.done), Writer: writer}
+	v := chunkValue{Seq: c.seq, Done: base64.RawStdEncoding.EncodeToString(c.done), Writer: writer, Block: c.block}
 	for i, cl := range c.claims {
 		v.Claims = append(v.Claims, fmt.Sprintf("%d %s %d %d %s", i, cl.Host, cl.Tenure, cl.Try, cl.Zone))
 	}
@@ -139,7 +141,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("chunk: %w", err)
 	}
-	c := &chunk{stamp: stamp, seq: v.Seq, done: done, claims: make(map[int]Claim)}
+	c := &chunk{stamp: stamp, seq: v.Seq, block: v.Block, done: done, claims: make(map[int]Claim)}
 	for _, s := range v.Claims {
 		f := strings.SplitN(s, " ", 5)
 		if len(f) != 5 {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -48,6 +48,7 @@
 	Over      bool      // finished; kept until that is durable
 	Running   time.Time // first seen running
 	Stopping  bool      // a stop was decided
+	Told      bool      // the audit record has it, or a block under way; the caller's
 }
 
 // Task is the claimed task.
@@ -73,6 +74,11 @@
 	requeue []int          // tasks to be claimed again
 	done    int
 
+	// Origin is who submitted it, where that is kept, and Told whether the audit
+	// record has it; the caller's.
+	Origin *Origin
+	Told   bool
+
 	// ReadyAt is since when it waits for no other job.
 	ReadyAt time.Time
 	// Lift is what it has from the jobs that need it; the caller's, and nil
@@ -228,7 +234,7 @@
 		return j
 	}
 	j := &Job{
-		Ref: ref, Spec: rec.Job, At: time.UnixMilli(rec.AtMS), stamp: stamp, size: max(1, rec.Chunk),
+		Ref: ref, Spec: rec.Job, Origin: rec.Origin, At: time.UnixMilli(rec.AtMS), stamp: stamp, size: max(1, rec.Chunk),
 		chunks: make(map[int]*chunk), claims: make(map[int]*Held), zones: make(map[string]int),
 	}
 	j.WaitingSince, j.ReadyAt = j.At, j.At
@@ -256,10 +262,11 @@
 		clear(c.claims)
 	}
 	j.chunks[n] = c
+	j.Told = j.Told || c.block != 0
 	j.done += c.done.count()
 	base := n * j.size
 	for i, cl := range c.claims {
-		l.hold(&Held{Claim: cl, Job: j, Index: base + i, Committed: true, Sent: true, SentEpoch: epoch})
+		l.hold(&Held{Claim: cl, Job: j, Index: base + i, Committed: true, Sent: true, SentEpoch: epoch, Told: true})
 	}
 	return nil
 }
--- a/internal/ledger/needs.go
+++ b/internal/ledger/needs.go
@@ -127,7 +127,9 @@
 func (j *Job) Stamp() uint64 { return j.stamp }
 
 // Record is the job as stored.
-func (j *Job) Record() Record { return Record{Job: j.Spec, AtMS: j.At.UnixMilli(), Chunk: j.size} }
+func (j *Job) Record() Record {
+	return Record{Job: j.Spec, AtMS: j.At.UnixMilli(), Chunk: j.size, Origin: j.Origin}
+}
 
 // forsake notes that a job was withdrawn: it waits for nothing any more, and
 // those that wait for it never run.
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -40,6 +40,8 @@
 	Job   wire.Job `json:"job"`
 	AtMS  int64    `json:"at"`    // time of day of the submission
 	Chunk int      `json:"chunk"` // tasks per claim key
+	// Origin is there where the audit record is kept or identities are on.
+	Origin *Origin `json:"from,omitempty"`
 }
 
 // Ending is what is kept of a job that is over.
@@ -52,6 +54,10 @@
 	// that is done, unless it is told their size.
 	Chunk int   `json:"chunk,omitempty"`
 	AtMS  int64 `json:"at,omitempty"` // time of day of the end
+	// Owner is who may ask about it, where identities are on.
+	Owner string `json:"own,omitempty"`
+	// Block is the audit record's that tells of the end.
+	Block uint64 `json:"a,omitempty"`
 }
 
 // WithdrawnEnding is the ending of a withdrawn job. Of the job it keeps what
@@ -59,9 +65,13 @@
 // submission was.
 func WithdrawnEnding(rec *Record, now time.Time) Ending {
 	j := &rec.Job
-	return Ending{Phase: wire.Withdrawn, Tasks: j.Members, Chunk: rec.Chunk, AtMS: now.UnixMilli(), Job: wire.Job{
+	e := Ending{Phase: wire.Withdrawn, Tasks: j.Members, Chunk: rec.Chunk, AtMS: now.UnixMilli(), Job: wire.Job{
 		Ref: j.Ref, Owner: j.Owner, Shape: j.Shape, Members: j.Members, Cores: j.Cores, Accel: j.Accel, RAM: j.RAM,
 	}}
+	if rec.Origin != nil {
+		e.Owner = j.Owner
+	}
+	return e
 }
 
 // DecodeRecord reads a stored job.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -5,11 +5,10 @@
 
 import (
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"io"
-	"iter"
-	"math"
+
+	"rillflow/internal/codec"
 )
 
 // A frame is version (1 byte), kind (1), request number (8), length of the
@@ -38,10 +37,13 @@
 
 	// Sent only to peers that are known to be of 0.3 or later.
 	kindHearing // how well a node hears workers, and the peer in answer
+
+	// Sent only to peers that are known to be of 0.4 or later.
+	kindUserAs // a user's request with its token
 )
 
 // ErrFormat says that a frame breaks the format.
-var ErrFormat = errors.New("peer: malformed")
+var ErrFormat = codec.ErrFormat
 
 type frame struct {
 	kind kind
@@ -77,129 +79,3 @@
 	_, err := io.ReadFull(r, f.body)
 	return f, err
 }
-
-// encoder appends values to a payload.
-type encoder struct{ b []byte }
-
-func (e *encoder) uint(v uint64)   { e.b = binary.AppendUvarint(e.b, v) }
-func (e *encoder) int(v int64)     { e.b = binary.AppendVarint(e.b, v) }
-func (e *encoder) float(v float64) { e.b = binary.BigEndian.AppendUint64(e.b, math.Float64bits(v)) }
-func (e *encoder) str(s string)    { e.uint(uint64(len(s))); e.b = append(e.b, s...) }
-func (e *encoder) bytes(s []byte)  { e.uint(uint64(len(s))); e.b = append(e.b, s...) }
-func (e *encoder) strs(ss []string) {
-	e.uint(uint64(len(ss)))
-	for _, s := range ss {
-		e.str(s)
-	}
-}
-
-func (e *encoder) bool(v bool) {
-	if v {
-		e.b = append(e.b, 1)
-	} else {
-		e.b = append(e.b, 0)
-	}
-}
-
-// decoder takes values off a payload. After the first error all values are
-// zero and err is set, so that callers check once at the end.
-type decoder struct {
-	b   []byte
-	err error
-}
-
-func (d *decoder) fail() {
-	if d.err == nil {
-		d.err = ErrFormat
-	}
-	d.b = nil
-}
-
-func (d *decoder) uint() uint64 {
-	v, n := binary.Uvarint(d.b)
-	if n <= 0 {
-		d.fail()
-		return 0
-	}
-	d.b = d.b[n:]
-	return v
-}
-
-func (d *decoder) int() int64 {
-	v, n := binary.Varint(d.b)
-	if n <= 0 {
-		d.fail()
-		return 0
-	}
-	d.b = d.b[n:]
-	return v
-}
-
-func (d *decoder) float() float64 {
-	if len(d.b) < 8 {
-		d.fail()
-		return 0
-	}
-	v := math.Float64frombits(binary.BigEndian.Uint64(d.b))
-	d.b = d.b[8:]
-	return v
-}
-
-func (d *decoder) bool() bool {
-	if len(d.b) == 0 || d.b[0] > 1 {
-		d.fail()
-		return false
-	}
-	v := d.b[0] == 1
-	d.b = d.b[1:]
-	return v
-}
-
-func (d *decoder) bytes() []byte {
-	n := d.uint()
-	if n > uint64(len(d.b)) {
-		d.fail()
-		return nil
-	}
-	v := d.b[:n]
-	d.b = d.b[n:]
-	return v
-}
-
-func (d *decoder) str() string { return string(d.bytes()) }
-
-// count reads the length of a list whose elements take at least one byte, so
-// that a false length cannot ask for much memory.
-func (d *decoder) count() int {
-	n := d.uint()
-	if n > uint64(len(d.b)) {
-		d.fail()
-		return 0
-	}
-	return int(n)
-}
-
-// items ranges over a list's elements and stops at the first error.
-func (d *decoder) items() iter.Seq[int] {
-	n := d.count()
-	return func(yield func(int) bool) {
-		for i := 0; i < n && d.err == nil && yield(i); i++ {
-		}
-	}
-}
-
-func (d *decoder) strs() []string {
-	var out []string
-	for range d.items() {
-		out = append(out, d.str())
-	}
-	return out
-}
-
-// done reports the first error; bytes left over are one.
-func (d *decoder) done() error {
-	if d.err == nil && len(d.b) > 0 {
-		d.err = fmt.Errorf("%w: %d bytes left over", ErrFormat, len(d.b))
-	}
-	return d.err
-}
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -38,6 +38,7 @@
 	}
 	picks      = []placement.Picked{{Host: "i-1", Ref: "req-1", Tier: 2, Cost: -0.5, Weight: 8}}
 	user       = UserRequest{Method: "POST", Path: "/v1/jobs", Body: []byte("{}")}
+	userAs     = UserRequest{Method: "POST", Path: "/v1/jobs", Body: []byte("{}"), Auth: "Bearer x"}
 	useranswer = UserAnswer{Status: 503, RetryAfter: "1", Body: []byte("x")}
 	hearing    = Hearing{Age: 3 * time.Second, Deaf: true}
 	counts     = Counts{Known: true, Done: 3, Running: 4}
@@ -56,6 +57,7 @@
 		{"offer", offer, encodeOffer(&offer), func(b []byte) (any, error) { return decodeOffer(b) }},
 		{"picks", picks, encodePicks(picks), func(b []byte) (any, error) { return decodePicks(b) }},
 		{"user", user, user.encode(), func(b []byte) (any, error) { return decodeUserRequest(b) }},
+		{"user with a token", userAs, userAs.encodeAs(), func(b []byte) (any, error) { return decodeUserRequestAs(b) }},
 		{"user answer", useranswer, useranswer.encode(), func(b []byte) (any, error) { return decodeUserAnswer(b) }},
 		{"hearing", hearing, hearing.encode(), func(b []byte) (any, error) { return decodeHearing(b) }},
 		{"counts", counts, counts.encode(), func(b []byte) (any, error) { return decodeCounts(b) }},
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -132,7 +132,15 @@
 
 // User passes a user's request on.
 func (m *Mesh) User(ctx context.Context, node string, r UserRequest) (UserAnswer, error) {
-	b, err := m.ask(ctx, node, kindUser, r.encode())
+	k, body := kindUser, r.encode()
+	if r.Auth != "" {
+		// Without it the peer would take the request for somebody else's.
+		if l := m.links[node]; l == nil || !l.reached(knowsTokens) {
+			return UserAnswer{}, fmt.Errorf("%w: %s knows no tokens", ErrDown, node)
+		}
+		k, body = kindUserAs, r.encodeAs()
+	}
+	b, err := m.ask(ctx, node, k, body)
 	if err != nil {
 		return UserAnswer{}, err
 	}
@@ -230,6 +238,13 @@
 		return c.encode(), nil
 	}
 	switch f.kind {
+	case kindUserAs:
+		r, err := decodeUserRequestAs(f.body)
+		if err != nil {
+			return nil, err
+		}
+		a := m.h.User(ctx, r)
+		return a.encode(), nil
 	case kindVersion:
 		return []byte(m.h.Version()), nil
 	case kindHearing:
@@ -330,15 +345,23 @@
 	return err == nil || errors.Is(err, ErrRefused)
 }
 
-// hears is the first version that tells how it hears workers.
-const hears = "v0.3.0"
+// The first versions that tell how they hear workers, and that know tokens.
+const (
+	hears       = "v0.3.0"
+	knowsTokens = "v0.4.0"
+)
+
+// reached tells whether the peer is known to be of a version or a later one.
+func (l *Link) reached(first string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := "v" + l.version
+	return semver.IsValid(v) && semver.Compare(v, first) >= 0
+}
 
 // listen asks how the peer hears workers, if it is new enough to tell.
 func (l *Link) listen(ctx context.Context, h Handler) {
-	l.mu.Lock()
-	version := "v" + l.version
-	l.mu.Unlock()
-	if !semver.IsValid(version) || semver.Compare(version, hears) < 0 {
+	if !l.reached(hears) {
 		return
 	}
 	own := h.Hearing()
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rillflow/internal/agent"
+	"rillflow/internal/codec"
 	"rillflow/internal/placement"
 	"rillflow/internal/wire"
 )
@@ -18,19 +19,19 @@
 }
 
 func (p *Ping) encode() []byte {
-	var e encoder
-	e.str(p.Node)
-	e.uint(p.Epoch)
-	e.str(p.Leader)
-	e.strs(p.Parts)
-	e.int(int64(p.StateAge))
-	return e.b
+	var e codec.Encoder
+	e.Str(p.Node)
+	e.Uint(p.Epoch)
+	e.Str(p.Leader)
+	e.Strs(p.Parts)
+	e.Int(int64(p.StateAge))
+	return e.B
 }
 
 func decodePing(b []byte) (p Ping, err error) {
-	d := decoder{b: b}
-	p = Ping{Node: d.str(), Epoch: d.uint(), Leader: d.str(), Parts: d.strs(), StateAge: time.Duration(d.int())}
-	return p, d.done()
+	d := codec.Decoder{B: b}
+	p = Ping{Node: d.Str(), Epoch: d.Uint(), Leader: d.Str(), Parts: d.Strs(), StateAge: time.Duration(d.Int())}
+	return p, d.Done()
 }
 
 // Hearing tells a peer how well this node hears workers.
@@ -40,16 +41,16 @@
 }
 
 func (h *Hearing) encode() []byte {
-	var e encoder
-	e.int(int64(h.Age))
-	e.bool(h.Deaf)
-	return e.b
+	var e codec.Encoder
+	e.Int(int64(h.Age))
+	e.Bool(h.Deaf)
+	return e.B
 }
 
 func decodeHearing(b []byte) (h Hearing, err error) {
-	d := decoder{b: b}
-	h = Hearing{Age: time.Duration(d.int()), Deaf: d.bool()}
-	return h, d.done()
+	d := codec.Decoder{B: b}
+	h = Hearing{Age: time.Duration(d.Int()), Deaf: d.Bool()}
+	return h, d.Done()
 }
 
 // BeatAnswer is the leader's answer to a report passed on by an owner.
@@ -60,189 +61,189 @@
 }
 
 func encodeReport(r *wire.Report) []byte {
-	var e encoder
-	e.str(r.Host)
-	e.str(r.Address)
-	e.str(r.Flavor)
-	e.str(r.Locale)
-	e.bool(r.Loaners)
-	e.uint(r.Tenure)
-	e.uint(r.Tick)
-	e.uint(r.Epoch)
-	e.bool(r.Warning != nil)
+	var e codec.Encoder
+	e.Str(r.Host)
+	e.Str(r.Address)
+	e.Str(r.Flavor)
+	e.Str(r.Locale)
+	e.Bool(r.Loaners)
+	e.Uint(r.Tenure)
+	e.Uint(r.Tick)
+	e.Uint(r.Epoch)
+	e.Bool(r.Warning != nil)
 	if r.Warning != nil {
-		e.float(*r.Warning)
+		e.Float(*r.Warning)
 	}
-	e.uint(uint64(len(r.Members)))
+	e.Uint(uint64(len(r.Members)))
 	for i := range r.Members {
 		m := &r.Members[i]
-		e.str(m.Member)
-		e.uint(m.Try)
-		e.str(m.Phase)
-		e.str(m.Cause)
-		e.bool(m.Kept)
+		e.Str(m.Member)
+		e.Uint(m.Try)
+		e.Str(m.Phase)
+		e.Str(m.Cause)
+		e.Bool(m.Kept)
 	}
-	return e.b
+	return e.B
 }
 
 func decodeReport(b []byte) (*wire.Report, error) {
-	d := decoder{b: b}
+	d := codec.Decoder{B: b}
 	r := &wire.Report{
-		Host: d.str(), Address: d.str(), Flavor: d.str(), Locale: d.str(), Loaners: d.bool(),
-		Tenure: d.uint(), Tick: d.uint(), Epoch: d.uint(),
+		Host: d.Str(), Address: d.Str(), Flavor: d.Str(), Locale: d.Str(), Loaners: d.Bool(),
+		Tenure: d.Uint(), Tick: d.Uint(), Epoch: d.Uint(),
 	}
-	if d.bool() {
-		w := d.float()
+	if d.Bool() {
+		w := d.Float()
 		r.Warning = &w
 	}
-	for range d.items() {
-		r.Members = append(r.Members, wire.Member{Member: d.str(), Try: d.uint(), Phase: d.str(), Cause: d.str(), Kept: d.bool()})
+	for range d.Items() {
+		r.Members = append(r.Members, wire.Member{Member: d.Str(), Try: d.Uint(), Phase: d.Str(), Cause: d.Str(), Kept: d.Bool()})
 	}
-	return r, d.done()
+	return r, d.Done()
 }
 
 func (a *BeatAnswer) encode() []byte {
-	var e encoder
-	e.bool(a.OK)
-	e.uint(a.Orders.Epoch)
-	e.uint(uint64(len(a.Orders.Orders)))
+	var e codec.Encoder
+	e.Bool(a.OK)
+	e.Uint(a.Orders.Epoch)
+	e.Uint(uint64(len(a.Orders.Orders)))
 	for i := range a.Orders.Orders {
 		o := &a.Orders.Orders[i]
-		e.str(o.Verb)
-		e.str(o.Member)
-		e.uint(o.Try)
-		e.float(o.Wind)
+		e.Str(o.Verb)
+		e.Str(o.Member)
+		e.Uint(o.Try)
+		e.Float(o.Wind)
 	}
-	e.uint(uint64(len(a.Learned)))
+	e.Uint(uint64(len(a.Learned)))
 	for _, l := range a.Learned {
-		e.str(l.Type)
-		e.str(l.Flavor)
-		e.int(int64(l.Run))
+		e.Str(l.Type)
+		e.Str(l.Flavor)
+		e.Int(int64(l.Run))
 	}
-	return e.b
+	return e.B
 }
 
 func decodeBeatAnswer(b []byte) (a BeatAnswer, err error) {
-	d := decoder{b: b}
-	a.OK = d.bool()
-	a.Orders = wire.Orders{Epoch: d.uint(), Orders: []wire.Order{}}
-	for range d.items() {
-		a.Orders.Orders = append(a.Orders.Orders, wire.Order{Verb: d.str(), Member: d.str(), Try: d.uint(), Wind: d.float()})
+	d := codec.Decoder{B: b}
+	a.OK = d.Bool()
+	a.Orders = wire.Orders{Epoch: d.Uint(), Orders: []wire.Order{}}
+	for range d.Items() {
+		a.Orders.Orders = append(a.Orders.Orders, wire.Order{Verb: d.Str(), Member: d.Str(), Try: d.Uint(), Wind: d.Float()})
 	}
-	for range d.items() {
-		a.Learned = append(a.Learned, agent.Finish{Type: d.str(), Flavor: d.str(), Run: time.Duration(d.int())})
+	for range d.Items() {
+		a.Learned = append(a.Learned, agent.Finish{Type: d.Str(), Flavor: d.Str(), Run: time.Duration(d.Int())})
 	}
-	return a, d.done()
+	return a, d.Done()
 }
 
 func encodeOffer(o *placement.Offer) []byte {
-	var e encoder
-	e.uint(uint64(len(o.Rooms)))
+	var e codec.Encoder
+	e.Uint(uint64(len(o.Rooms)))
 	for i := range o.Rooms {
 		r := &o.Rooms[i]
-		e.str(r.Host)
-		e.str(r.Flavor)
-		e.str(r.Zone)
-		e.bool(r.Loaners)
+		e.Str(r.Host)
+		e.Str(r.Flavor)
+		e.Str(r.Zone)
+		e.Bool(r.Loaners)
 		for _, f := range []float64{r.Cores, r.Accel, r.RAM, r.Total, r.Pull} {
-			e.float(f)
+			e.Float(f)
 		}
-		e.strs(r.Images)
-		e.strs(r.Coming)
-		e.float(r.ComingGB)
-		e.str(r.Held)
-		e.int(int64(r.HeldTier))
+		e.Strs(r.Images)
+		e.Strs(r.Coming)
+		e.Float(r.ComingGB)
+		e.Str(r.Held)
+		e.Int(int64(r.HeldTier))
 	}
-	e.uint(uint64(len(o.Queues)))
+	e.Uint(uint64(len(o.Queues)))
 	for i := range o.Queues {
 		q := &o.Queues[i]
-		e.str(q.Type)
-		e.int(int64(q.Count))
-		e.uint(uint64(len(q.Jobs)))
+		e.Str(q.Type)
+		e.Int(int64(q.Count))
+		e.Uint(uint64(len(q.Jobs)))
 		for k := range q.Jobs {
 			w := &q.Jobs[k]
-			e.str(w.Ref)
-			e.int(int64(w.Tasks))
-			e.int(int64(w.Tier))
-			e.int(int64(w.Age))
+			e.Str(w.Ref)
+			e.Int(int64(w.Tasks))
+			e.Int(int64(w.Tier))
+			e.Int(int64(w.Age))
 			for _, f := range []float64{w.Cores, w.Accel, w.RAM, w.SizeGB} {
-				e.float(f)
+				e.Float(f)
 			}
-			e.str(w.Bundle)
-			e.bool(w.Standing)
-			e.bool(w.Loaners)
-			e.strs(w.Flavors)
-			e.bool(w.Zones != nil)
-			e.uint(uint64(len(w.Zones)))
+			e.Str(w.Bundle)
+			e.Bool(w.Standing)
+			e.Bool(w.Loaners)
+			e.Strs(w.Flavors)
+			e.Bool(w.Zones != nil)
+			e.Uint(uint64(len(w.Zones)))
 			for z, n := range w.Zones {
-				e.str(z)
-				e.int(int64(n))
+				e.Str(z)
+				e.Int(int64(n))
 			}
-			e.strs(w.Avoid)
-			e.float(w.Within)
-			e.strs(w.Warm)
+			e.Strs(w.Avoid)
+			e.Float(w.Within)
+			e.Strs(w.Warm)
 		}
 	}
-	return e.b
+	return e.B
 }
 
 func decodeOffer(b []byte) (o placement.Offer, err error) {
-	d := decoder{b: b}
-	for range d.items() {
-		r := placement.Room{Host: d.str(), Flavor: d.str(), Zone: d.str(), Loaners: d.bool()}
+	d := codec.Decoder{B: b}
+	for range d.Items() {
+		r := placement.Room{Host: d.Str(), Flavor: d.Str(), Zone: d.Str(), Loaners: d.Bool()}
 		for _, f := range []*float64{&r.Cores, &r.Accel, &r.RAM, &r.Total, &r.Pull} {
-			*f = d.float()
+			*f = d.Float()
 		}
-		r.Images, r.Coming, r.ComingGB = d.strs(), d.strs(), d.float()
-		r.Held, r.HeldTier = d.str(), int(d.int())
+		r.Images, r.Coming, r.ComingGB = d.Strs(), d.Strs(), d.Float()
+		r.Held, r.HeldTier = d.Str(), int(d.Int())
 		o.Rooms = append(o.Rooms, r)
 	}
-	for range d.items() {
-		q := placement.Queue{Type: d.str(), Count: int(d.int())}
-		for range d.items() {
-			w := placement.Waiting{Ref: d.str(), Tasks: int(d.int()), Tier: int(d.int()), Age: time.Duration(d.int())}
+	for range d.Items() {
+		q := placement.Queue{Type: d.Str(), Count: int(d.Int())}
+		for range d.Items() {
+			w := placement.Waiting{Ref: d.Str(), Tasks: int(d.Int()), Tier: int(d.Int()), Age: time.Duration(d.Int())}
 			for _, f := range []*float64{&w.Cores, &w.Accel, &w.RAM, &w.SizeGB} {
-				*f = d.float()
+				*f = d.Float()
 			}
-			w.Bundle, w.Standing, w.Loaners, w.Flavors = d.str(), d.bool(), d.bool(), d.strs()
-			zoned := d.bool()
-			n := d.count()
+			w.Bundle, w.Standing, w.Loaners, w.Flavors = d.Str(), d.Bool(), d.Bool(), d.Strs()
+			zoned := d.Bool()
+			n := d.Count()
 			if zoned {
 				w.Zones = make(map[string]int)
 			}
 			for range n {
-				z, k := d.str(), int(d.int())
+				z, k := d.Str(), int(d.Int())
 				if zoned {
 					w.Zones[z] = k
 				}
 			}
-			w.Avoid, w.Within, w.Warm = d.strs(), d.float(), d.strs()
+			w.Avoid, w.Within, w.Warm = d.Strs(), d.Float(), d.Strs()
 			q.Jobs = append(q.Jobs, w)
 		}
 		o.Queues = append(o.Queues, q)
 	}
-	return o, d.done()
+	return o, d.Done()
 }
 
 func encodePicks(ps []placement.Picked) []byte {
-	var e encoder
-	e.uint(uint64(len(ps)))
+	var e codec.Encoder
+	e.Uint(uint64(len(ps)))
 	for _, p := range ps {
-		e.str(p.Host)
-		e.str(p.Ref)
-		e.int(int64(p.Tier))
-		e.float(p.Cost)
-		e.float(p.Weight)
+		e.Str(p.Host)
+		e.Str(p.Ref)
+		e.Int(int64(p.Tier))
+		e.Float(p.Cost)
+		e.Float(p.Weight)
 	}
-	return e.b
+	return e.B
 }
 
 func decodePicks(b []byte) (ps []placement.Picked, err error) {
-	d := decoder{b: b}
-	for range d.items() {
-		ps = append(ps, placement.Picked{Host: d.str(), Ref: d.str(), Tier: int(d.int()), Cost: d.float(), Weight: d.float()})
+	d := codec.Decoder{B: b}
+	for range d.Items() {
+		ps = append(ps, placement.Picked{Host: d.Str(), Ref: d.Str(), Tier: int(d.Int()), Cost: d.Float(), Weight: d.Float()})
 	}
-	return ps, d.done()
+	return ps, d.Done()
 }
 
 // UserRequest is a user's request passed on by a node that the state service
@@ -250,6 +251,9 @@
 type UserRequest struct {
 	Method, Path string
 	Body         []byte
+	// Auth is the request's Authorization, if it has one. It goes in a frame of
+	// another kind, with all else as it ever was.
+	Auth string
 }
 
 // UserAnswer is its answer.
@@ -260,31 +264,47 @@
 }
 
 func (r *UserRequest) encode() []byte {
-	var e encoder
-	e.str(r.Method)
-	e.str(r.Path)
-	e.bytes(r.Body)
-	return e.b
+	var e codec.Encoder
+	e.Str(r.Method)
+	e.Str(r.Path)
+	e.Bytes(r.Body)
+	return e.B
+}
+
+// encodeAs gives a request with its Authorization.
+func (r *UserRequest) encodeAs() []byte {
+	var e codec.Encoder
+	e.Str(r.Auth)
+	e.Str(r.Method)
+	e.Str(r.Path)
+	e.Bytes(r.Body)
+	return e.B
+}
+
+func decodeUserRequestAs(b []byte) (r UserRequest, err error) {
+	d := codec.Decoder{B: b}
+	r = UserRequest{Auth: d.Str(), Method: d.Str(), Path: d.Str(), Body: d.Bytes()}
+	return r, d.Done()
 }
 
 func decodeUserRequest(b []byte) (r UserRequest, err error) {
-	d := decoder{b: b}
-	r = UserRequest{Method: d.str(), Path: d.str(), Body: d.bytes()}
-	return r, d.done()
+	d := codec.Decoder{B: b}
+	r = UserRequest{Method: d.Str(), Path: d.Str(), Body: d.Bytes()}
+	return r, d.Done()
 }
 
 func (a *UserAnswer) encode() []byte {
-	var e encoder
-	e.int(int64(a.Status))
-	e.str(a.RetryAfter)
-	e.bytes(a.Body)
-	return e.b
+	var e codec.Encoder
+	e.Int(int64(a.Status))
+	e.Str(a.RetryAfter)
+	e.Bytes(a.Body)
+	return e.B
 }
 
 func decodeUserAnswer(b []byte) (a UserAnswer, err error) {
-	d := decoder{b: b}
-	a = UserAnswer{Status: int(d.int()), RetryAfter: d.str(), Body: d.bytes()}
-	return a, d.done()
+	d := codec.Decoder{B: b}
+	a = UserAnswer{Status: int(d.Int()), RetryAfter: d.Str(), Body: d.Bytes()}
+	return a, d.Done()
 }
 
 // Counts are a live job's tasks for display.
@@ -294,15 +314,15 @@
 }
 
 func (c *Counts) encode() []byte {
-	var e encoder
-	e.bool(c.Known)
-	e.int(int64(c.Done))
-	e.int(int64(c.Running))
-	return e.b
+	var e codec.Encoder
+	e.Bool(c.Known)
+	e.Int(int64(c.Done))
+	e.Int(int64(c.Running))
+	return e.B
 }
 
 func decodeCounts(b []byte) (c Counts, err error) {
-	d := decoder{b: b}
-	c = Counts{Known: d.bool(), Done: int(d.int()), Running: int(d.int())}
-	return c, d.done()
+	d := codec.Decoder{B: b}
+	c = Counts{Known: d.Bool(), Done: int(d.Int()), Running: int(d.Int())}
+	return c, d.Done()
 }
--- a/internal/serve/front.go
+++ b/internal/serve/front.go
@@ -80,7 +80,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), d.set.Report()/2)
 	defer cancel()
-	a, err := d.mesh.User(ctx, node, peer.UserRequest{Method: r.Method, Path: r.URL.Path, Body: body})
+	a, err := d.mesh.User(ctx, node, peer.UserRequest{Method: r.Method, Path: r.URL.Path, Body: body, Auth: r.Header.Get("Authorization")})
 	if err != nil {
 		w.Header().Set("Retry-After", "1")
 		reply(w, http.StatusServiceUnavailable, wire.Error{Error: "state service"})
@@ -136,6 +136,9 @@
 	if err != nil {
 		return peer.UserAnswer{Status: http.StatusBadRequest, Body: []byte("{}")}
 	}
+	if r.Auth != "" {
+		req.Header.Set("Authorization", r.Auth)
+	}
 	d.users.ServeHTTP(rec, req)
 	return peer.UserAnswer{Status: rec.status, RetryAfter: rec.header.Get("Retry-After"), Body: rec.body}
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -12,10 +12,12 @@
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"rillflow/internal/access"
 	"rillflow/internal/agent"
 	"rillflow/internal/control"
 	"rillflow/internal/fleet"
 	"rillflow/internal/intake"
+	"rillflow/internal/keyring"
 	"rillflow/internal/lead"
 	"rillflow/internal/part"
 	"rillflow/internal/peer"
@@ -25,7 +27,7 @@
 )
 
 // Version is the program's version.
-const Version = "0.3.0"
+const Version = "0.4.0"
 
 // daemon is a running controller.
 type daemon struct {
@@ -37,6 +39,7 @@
 	mesh    *peer.Mesh
 	memory  *pressure.Gauge
 	users   http.Handler
+	door    *access.Door
 	log     *slog.Logger
 	began   time.Time
 }
@@ -72,12 +75,24 @@
 	d.part = part.New(set, d.el.Known, d.st.SinceOK, time.Now)
 	d.mesh = peer.NewMesh(set.Members, d, set.Report()/6, int(op.Limits.Sockets*float64(facts.Resources.Sockets)/2), nw.Dial, log)
 	d.part.Link(d.mesh)
+	var ring *keyring.Ring
+	if a := &op.Access; a.Identified() || a.Audited() {
+		var err error
+		if ring, err = keyring.Load(a.Keys); err != nil {
+			return err
+		}
+	}
+	d.door = access.New(set, d.st, ring, log)
+	kept := ring
+	if !op.Access.Audited() {
+		kept = nil
+	}
 	d.control = control.New(control.Deps{
 		Settings: set, State: d.st, Cloud: cloud, Direct: agent.NewDirect(set.Report(), int(idleWorkers*float64(facts.Resources.Sockets)), nw.Dial), Elector: d.el,
-		Types: types, Parts: d.part, Full: d.memory.High, Log: log,
+		Types: types, Parts: d.part, Full: d.memory.High, Ring: kept, Log: log,
 	})
 	mux := http.NewServeMux()
-	intake.New(set, d.st, types, d.counts, d.part.Refused, d.memory.High, log).Routes(mux)
+	intake.New(set, d.st, types, d.counts, d.part.Refused, d.memory.High, d.door, log).Routes(mux)
 	d.users = mux
 
 	front, err := nw.Listen(set.Front)
@@ -103,6 +118,7 @@
 	g.Go(func() error { return d.el.Follow(gctx) })
 	g.Go(func() error { return d.el.Run(gctx, d.control.Serve) })
 	g.Go(func() error { return d.probe(gctx) })
+	g.Go(func() error { return d.door.Run(gctx, set.Report()) })
 	log.Info("serving", "front", set.Front, "back", set.Back)
 	return g.Wait()
 }
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -11,6 +11,8 @@
 	"strings"
 
 	"github.com/go-playground/validator/v10"
+
+	"rillflow/internal/rights"
 )
 
 //go:embed defaults.xml
@@ -24,8 +26,24 @@
 	Lead      Lead      `xml:"lead"`
 	Fleet     Fleet     `xml:"fleet"`
 	Limits    Limits    `xml:"limits"`
+	Access    Access    `xml:"access"`
+}
+
+// Access are the settings of identities, rights and the audit record.
+type Access struct {
+	Identities string  `xml:"identities" validate:"oneof=off on"`
+	Audit      string  `xml:"audit" validate:"oneof=off on"`
+	Keys       string  `xml:"keys"` // file, from the operators' file on
+	Trust      float64 `xml:"trust" validate:"gt=0"`
+	rights.Rules
 }
 
+// Identified tells whether who asks is looked at.
+func (a *Access) Identified() bool { return a.Identities == "on" }
+
+// Audited tells whether the record is kept.
+func (a *Access) Audited() bool { return a.Audit == "on" }
+
 // Placement are the open parameters of the placement rule.
 type Placement struct {
 	Horizon    float64 `xml:"horizon" validate:"gte=149"` // the paper asks g >= e^5
@@ -73,9 +91,12 @@
 		if err := checkNames(data); err != nil {
 			return op, err
 		}
+		op.Access.Rules = rights.Rules{} // the defaults' are an example
 		if err := xml.Unmarshal(data, &op); err != nil {
 			return op, err
 		}
+	} else {
+		op.Access.Rules = rights.Rules{}
 	}
 	if err := validator.New().Struct(&op); err != nil {
 		return op, firstError(err)
@@ -85,6 +106,12 @@
 			return op, fmt.Errorf("type-fields: %q is none of %s", f, strings.Join(typeFields, ", "))
 		}
 	}
+	if err := op.Access.Check(); err != nil {
+		return op, fmt.Errorf("access: %w", err)
+	}
+	if a := &op.Access; (a.Identified() || a.Audited()) && a.Keys == "" {
+		return op, errors.New("access: <keys> is needed where identities or the audit record are on")
+	}
 	if g := op.Placement.Horizon; g < 8*op.Placement.RunBound {
 		return op, fmt.Errorf("horizon: %v is below 8 times run-bound", g)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -156,6 +156,9 @@
 	if s.Operator, err = ParseOperator(own); err != nil {
 		return nil, fmt.Errorf("operator settings %s: %w", xml, err)
 	}
+	if k := &s.Operator.Access.Keys; *k != "" && !filepath.IsAbs(*k) {
+		*k = filepath.Join(filepath.Dir(xml), *k)
+	}
 	return s, nil
 }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -252,6 +252,19 @@
 	}
 }
 
+// First reads the first key under a prefix; ErrNotFound if there is none.
+func (c *Client) First(ctx context.Context, under string) (wire.Item, error) {
+	q := url.Values{"under": {under}, "limit": {"1"}}
+	var p wire.Page
+	if err := c.do(ctx, http.MethodGet, "/store?"+q.Encode(), nil, &p, 0, 0); err != nil {
+		return wire.Item{}, err
+	}
+	if len(p.Items) == 0 {
+		return wire.Item{}, ErrNotFound
+	}
+	return p.Items[0], nil
+}
+
 // Commit runs a transaction once. With a nil error, failed names the guards
 // that did not hold; none means that it was applied.
 func (c *Client) Commit(ctx context.Context, t wire.Commit) (gen uint64, failed []string, err error) {
