--- /dev/null
+++ b/internal/audit/archive.go
@@ -0,0 +1,130 @@
+package audit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"rillflow/internal/keyring"
+	"rillflow/internal/state"
+	"rillflow/internal/wire"
+)
+
+// Store is what reading and trimming a record asks of the state service.
+type Store interface {
+	Get(ctx context.Context, key string) (wire.Item, error)
+	List(ctx context.Context, under string) ([]wire.Item, uint64, error)
+	Commit(ctx context.Context, t wire.Commit) (gen uint64, failed []string, err error)
+}
+
+// Archive is the record as the state service has it.
+type Archive struct {
+	Before Head // of what was exported and trimmed; zero where nothing was
+	Blocks [][]byte
+	// Found are values that hold no block at all.
+	Found []error
+	mark  wire.Item
+	keys  []wire.Item
+}
+
+// Read reads the record, oldest block first. The mark of what was trimmed must be
+// sealed, or whoever can write to the state service could hide the beginning.
+func Read(ctx context.Context, st Store, ring *keyring.Ring) (*Archive, error) {
+	var a Archive
+	it, err := st.Get(ctx, TrimKey)
+	if err == nil {
+		if a.Before, err = openMark(ring, it.Data); err != nil {
+			a.Found = append(a.Found, fmt.Errorf("the mark of what was trimmed: %w", err))
+		}
+		a.mark = it
+	} else if !errors.Is(err, state.ErrNotFound) {
+		return nil, err
+	}
+	if a.keys, _, err = st.List(ctx, BlockPrefix); err != nil {
+		return nil, err
+	}
+	slices.Reverse(a.keys)
+	for _, it := range a.keys {
+		seq, ok := BlockSeq(it.Path)
+		raw, err := Raw(it.Data)
+		if !ok || err != nil {
+			a.Found = append(a.Found, fmt.Errorf("key %s: %w", it.Path, errors.Join(err)))
+			continue
+		}
+		if b, err := Open(raw); err == nil && b.Seq != seq {
+			a.Found = append(a.Found, fmt.Errorf("key %s holds block %d: %w", it.Path, b.Seq, ErrOrder))
+		}
+		a.Blocks = append(a.Blocks, raw)
+	}
+	return &a, nil
+}
+
+// openMark reads the mark of what was trimmed: a slip whose one entry names a head.
+func openMark(ring *keyring.Ring, value []byte) (Head, error) {
+	raw, err := Raw(value)
+	if err != nil {
+		return Head{}, err
+	}
+	if ring == nil {
+		return Head{}, keyring.ErrUnknown
+	}
+	s, err := OpenSlip(ring, TrimKey, raw)
+	if err != nil {
+		return Head{}, err
+	}
+	if len(s.Entries) != 1 {
+		return Head{}, errors.New("not a mark")
+	}
+	return ParseHead(s.Entries[0].On)
+}
+
+// Trim removes blocks from the state service up to and with a number, a few in each
+// transaction. They must have been exported and the export read back. The newest
+// block always stays: a leader goes on from it.
+func (a *Archive) Trim(ctx context.Context, st Store, ring *keyring.Ring, upTo uint64, ops int) (removed int, err error) {
+	mark := a.mark.Stamp
+	for len(a.keys) > 1 {
+		n := 0
+		txn := wire.Commit{Guards: []wire.Guard{{Path: TrimKey, Stamp: mark}}}
+		var head Head
+		for n < min(len(a.keys)-1, ops-1) {
+			it := a.keys[n]
+			raw, err := Raw(it.Data)
+			if err != nil {
+				return removed, err
+			}
+			b, err := Open(raw)
+			if err != nil {
+				return removed, err
+			}
+			if b.Seq > upTo {
+				break
+			}
+			head = b.Head()
+			txn.Guards = append(txn.Guards, wire.Guard{Path: it.Path, Stamp: it.Stamp})
+			txn.Apply = append(txn.Apply, wire.Change{Remove: it.Path})
+			n++
+		}
+		if n == 0 {
+			return removed, nil
+		}
+		s := Slip{Entries: []Entry{{At: time.Now(), Act: Trimmed, On: head.String()}}}
+		raw, err := s.Encode(ring, TrimKey)
+		if err != nil {
+			return removed, err
+		}
+		txn.Apply = append(txn.Apply, wire.Change{Put: TrimKey, Data: Value(raw)})
+		gen, failed, err := st.Commit(ctx, txn)
+		if err != nil {
+			return removed, err
+		}
+		if len(failed) > 0 {
+			return removed, fmt.Errorf("audit: somebody else trims: %v", failed)
+		}
+		mark, a.keys = gen, a.keys[n:]
+		removed += n
+	}
+	return removed, nil
+}
--- a/internal/audit/entry.go
+++ b/internal/audit/entry.go
@@ -32,11 +32,12 @@
 	Issued                   // (*) On: an identity or token
 	Revoked                  // (*) On: an identity or token
 	Missed                   // Why: how many entries there was no room for
+	Trimmed                  // On: the last block that was removed after its export
 )
 
 var acts = [...]string{
 	Accepted: "accepted", Withdrawn: "withdrawn", Refused: "refused", Claimed: "claimed", Lost: "lost", Stopped: "stopped", Done: "done",
-	Returned: "returned", TookOver: "took over", Unsealed: "unsealed", Issued: "issued", Revoked: "revoked", Missed: "missed",
+	Returned: "returned", TookOver: "took over", Unsealed: "unsealed", Issued: "issued", Revoked: "revoked", Missed: "missed", Trimmed: "trimmed",
 }
 
 // String names the act.
--- a/internal/control/chain.go
+++ b/internal/control/chain.go
@@ -102,10 +102,10 @@
 
 // carryOn withdraws the next few, and tells whether there were any.
 func (r *reign) carryOn(ctx context.Context) (more bool, err error) {
-	if r.rec != nil {
-		r.rec.turn.Lock()
-		defer r.rec.turn.Unlock()
+	if !r.rec.begin(ctx) {
+		return false, ctx.Err()
 	}
+	defer r.rec.end()
 	r.mu.Lock()
 	js, w, err := r.doomed()
 	r.mu.Unlock()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -130,7 +130,7 @@
 		quiet: newQuiet(c.set),
 	}
 	if c.ring != nil {
-		r.rec = &record{ring: c.ring, node: c.set.Node, log: c.log, slips: make(map[string]slip)}
+		r.rec = newRecord(c.ring, c.set.Node, c.log)
 	}
 	c.cur.Store(r)
 	defer c.cur.CompareAndSwap(r, nil)
--- a/internal/control/flush.go
+++ b/internal/control/flush.go
@@ -68,10 +68,10 @@
 
 // next makes and commits the next batch, or tells how long until there is room.
 func (r *reign) next(ctx context.Context) (*writing, time.Duration, error) {
-	if r.rec != nil {
-		r.rec.turn.Lock()
-		defer r.rec.turn.Unlock()
+	if !r.rec.begin(ctx) {
+		return nil, 0, ctx.Err()
 	}
+	defer r.rec.end()
 	w, wait, err := r.batch()
 	if w == nil || err != nil {
 		return nil, wait, err
@@ -100,7 +100,9 @@
 		return nil, wait, nil
 	}
 	w := &writing{Batch: b}
-	if alone || len(b.Apply) > 0 {
+	// Plain finishes need no entry: what is queued waits for company until it is due,
+	// for every block is a change of the budget.
+	if alone || len(b.Apply) > 0 && (len(b.Decisions()) > 0 || r.rec.due(now, r.set.Report()/2)) {
 		if err := r.rec.attach(w, r.term.Epoch(), now, ops, value); err != nil {
 			return nil, 0, err
 		}
--- a/internal/control/record.go
+++ b/internal/control/record.go
@@ -6,9 +6,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"rillflow/internal/audit"
@@ -31,10 +31,10 @@
 	ring  *keyring.Ring
 	node  string
 	log   *slog.Logger
-	turn  sync.Mutex // held from making blocks until their fate is known
-	head  audit.Head // under turn
-	told  int        // blocks that were written, under turn
-	bytes int        // of their values, under turn
+	turn  chan struct{} // has one token, held from making blocks until their fate is known
+	head  audit.Head    // under turn
+	told  int           // blocks that were written, under turn
+	bytes int           // of their values, under turn
 
 	// What follows is guarded by the reign's lock.
 	queue  []audit.Entry
@@ -59,13 +59,41 @@
 	blockRoom = 256 // bytes of a block beside its entries
 )
 
+func newRecord(ring *keyring.Ring, node string, log *slog.Logger) *record {
+	r := &record{ring: ring, node: node, log: log, turn: make(chan struct{}, 1), slips: make(map[string]slip)}
+	r.turn <- struct{}{}
+	return r
+}
+
+// begin waits for the turn to write blocks, and reports whether it came before ctx
+// ended. A turn lasts for a request to the state service, so one can give up waiting.
+func (r *record) begin(ctx context.Context) bool {
+	if r == nil {
+		return true
+	}
+	select {
+	case <-r.turn:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *record) end() {
+	if r != nil {
+		r.turn <- struct{}{}
+	}
+}
+
 // open finds the end of the chain, and has the record tell who leads now.
 func (r *record) open(ctx context.Context, st *state.Client, wait time.Duration) error {
 	if r == nil {
 		return nil
 	}
-	r.turn.Lock()
-	defer r.turn.Unlock()
+	if !r.begin(ctx) {
+		return ctx.Err()
+	}
+	defer r.end()
 	for try := 0; ; try++ {
 		it, err := st.First(ctx, audit.BlockPrefix)
 		if errors.Is(err, state.ErrNotFound) {
@@ -159,6 +187,7 @@
 	missed int      // as told
 	slips  []string // taken in
 	jobs   []*ledger.Job
+	claims []*ledger.Held
 	bytes  int
 }
 
@@ -185,6 +214,7 @@
 			e := audit.Entry{At: now, Act: audit.Claimed, On: d.Job.Ref}
 			for _, c := range d.Claims {
 				c.Told = true
+				w.claims = append(w.claims, c)
 				e.Tasks = append(e.Tasks, audit.Task{Index: c.Index, Try: c.Try, Host: c.Host})
 			}
 			entries = append(entries, e)
@@ -256,6 +286,10 @@
 		for _, j := range w.jobs {
 			j.Told = false
 		}
+		for _, c := range w.claims {
+			c.Told = false
+			r.unsay(c)
+		}
 		return
 	}
 	if n := len(w.blocks); n > 0 {
@@ -273,6 +307,18 @@
 	}
 }
 
+// unsay takes back what was queued of a claim that was never made.
+func (r *record) unsay(c *ledger.Held) {
+	r.queue = slices.DeleteFunc(r.queue, func(e audit.Entry) bool {
+		return e.On == c.Job.Ref && len(e.Tasks) == 1 && e.Tasks[0].Index == c.Index && e.Tasks[0].Try == c.Try
+	})
+	for i := range r.queue {
+		if e := &r.queue[i]; e.On == c.Job.Ref && len(e.Tasks) > 1 {
+			e.Tasks = slices.DeleteFunc(e.Tasks, func(t audit.Task) bool { return t.Index == c.Index && t.Try == c.Try })
+		}
+	}
+}
+
 // mine tells whether the first block of a transaction is the one that is stored
 // under its number: nobody else can have sealed it.
 func (w *writing) mine(ctx context.Context, st *state.Client) (stamp uint64, mine bool, err error) {
--- /dev/null
+++ b/internal/identity/admin.go
@@ -0,0 +1,222 @@
+package identity
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"rillflow/internal/audit"
+	"rillflow/internal/keyring"
+	"rillflow/internal/rights"
+	"rillflow/internal/state"
+	"rillflow/internal/wire"
+)
+
+// Admin gives out and withdraws identities and tokens. Whoever has the key ring and
+// reaches the state service may; the record says who it was.
+type Admin struct {
+	Store   audit.Store
+	Ring    *keyring.Ring
+	By      string // who does it
+	Audited bool   // tell the audit record, in the same transaction
+	Now     func() time.Time
+}
+
+// ErrChanged: somebody else changed the same identity; try again.
+var ErrChanged = errors.New("identity: changed by somebody else meanwhile")
+
+// change is one record to be written, on condition that it is as it was read.
+type change struct {
+	key   string
+	stamp uint64
+	value any
+}
+
+func (a *Admin) commit(ctx context.Context, cs []change, e audit.Entry) error {
+	var txn wire.Commit
+	for _, c := range cs {
+		data, err := json.Marshal(c.value)
+		if err != nil {
+			return err
+		}
+		txn.Guards = append(txn.Guards, wire.Guard{Path: c.key, Stamp: c.stamp})
+		txn.Apply = append(txn.Apply, wire.Change{Put: c.key, Data: data})
+	}
+	if a.Audited {
+		e.At, e.Who = a.Now(), a.By
+		// The name is used once: the records' stamps are in the guards.
+		place := fmt.Sprintf("%s%s.%x", audit.SlipPrefix, e.On, a.Now().UnixNano())
+		s := audit.Slip{Entries: []audit.Entry{e}}
+		raw, err := s.Encode(a.Ring, place)
+		if err != nil {
+			return err
+		}
+		txn.Apply = append(txn.Apply, wire.Change{Put: place, Data: audit.Value(raw)})
+	}
+	_, failed, err := a.Store.Commit(ctx, txn)
+	if err == nil && len(failed) > 0 {
+		err = ErrChanged
+	}
+	return err
+}
+
+func (a *Admin) read(ctx context.Context, key string, v any) (uint64, error) {
+	it, err := a.Store.Get(ctx, key)
+	if errors.Is(err, state.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return it.Stamp, json.Unmarshal(it.Data, v)
+}
+
+// Issue makes or changes an identity and gives it a token that holds for a while. The
+// token is in no other place than the answer.
+func (a *Admin) Issue(ctx context.Context, name string, rec Record, life time.Duration) (token string, err error) {
+	if !ValidName(name) {
+		return "", ErrName
+	}
+	if life <= 0 {
+		return "", errors.New("identity: a token must hold for some time")
+	}
+	var was Record
+	stamp, err := a.read(ctx, WhoPrefix+name, &was)
+	if err != nil {
+		return "", err
+	}
+	if was.Gone {
+		return "", fmt.Errorf("identity: %s was withdrawn: a name is never given to another", name)
+	}
+	token, id, t, err := Issue(a.Ring, name, a.Now(), a.Now().Add(life))
+	if err != nil {
+		return "", err
+	}
+	cs := []change{{TokenPrefix + id, 0, t}}
+	if stamp == 0 || rec.Kind != "" {
+		if rec.Kind == "" {
+			rec.Kind = rights.Person
+		}
+		cs = append(cs, change{WhoPrefix + name, stamp, rec})
+	}
+	why := fmt.Sprintf("token %s until %s; teams %v, roles %v", id, time.Unix(t.TillS, 0).UTC().Format(time.RFC3339), rec.Teams, rec.Roles)
+	return token, a.commit(ctx, cs, audit.Entry{Act: audit.Issued, On: name, Why: why})
+}
+
+// Rotate gives an identity a new token, and lets its others hold for a grace at most.
+func (a *Admin) Rotate(ctx context.Context, name string, life, grace time.Duration) (token string, err error) {
+	if token, err = a.Issue(ctx, name, Record{}, life); err != nil {
+		return "", err
+	}
+	id, _, _ := parse(token)
+	return token, a.each(ctx, name, func(other string, t *Token) bool {
+		till := a.Now().Add(grace).Unix()
+		if other == id || t.TillS <= till {
+			return false
+		}
+		t.TillS = till
+		return true
+	}, "replaced")
+}
+
+// Withdraw ends a token, or an identity with all its tokens.
+func (a *Admin) Withdraw(ctx context.Context, name string) error {
+	if id, ok := strings.CutPrefix(name, mark); ok {
+		id, _, _ = strings.Cut(id, "_") // the whole token will do
+		var t Token
+		stamp, err := a.read(ctx, TokenPrefix+id, &t)
+		if err == nil && stamp == 0 {
+			err = fmt.Errorf("identity: no token %s", id)
+		}
+		if err != nil {
+			return err
+		}
+		t.Gone = true
+		return a.commit(ctx, []change{{TokenPrefix + id, stamp, t}}, audit.Entry{Act: audit.Revoked, On: t.Who, Why: "token " + id})
+	}
+	var rec Record
+	stamp, err := a.read(ctx, WhoPrefix+name, &rec)
+	if err == nil && stamp == 0 {
+		err = fmt.Errorf("identity: nobody is called %s", name)
+	}
+	if err != nil {
+		return err
+	}
+	// The identity first: with it all its tokens are void at once.
+	rec.Gone = true
+	if err := a.commit(ctx, []change{{WhoPrefix + name, stamp, rec}}, audit.Entry{Act: audit.Revoked, On: name, Why: "with all tokens"}); err != nil {
+		return err
+	}
+	return a.each(ctx, name, func(_ string, t *Token) bool {
+		was := t.Gone
+		t.Gone = true
+		return !was
+	}, "withdrawn")
+}
+
+// each changes the tokens of an identity, one by one.
+func (a *Admin) each(ctx context.Context, name string, f func(id string, t *Token) bool, why string) error {
+	items, _, err := a.Store.List(ctx, TokenPrefix)
+	if err != nil {
+		return err
+	}
+	for _, it := range items {
+		var t Token
+		if err := json.Unmarshal(it.Data, &t); err != nil || t.Who != name {
+			continue
+		}
+		id := it.Path[len(TokenPrefix):]
+		if !f(id, &t) {
+			continue
+		}
+		if err := a.commit(ctx, []change{{it.Path, it.Stamp, t}}, audit.Entry{Act: audit.Revoked, On: name, Why: "token " + id + " " + why}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Known is an identity with its tokens, as an operator sees it.
+type Known struct {
+	Name string
+	Record
+	Tokens map[string]Token
+}
+
+// List gives all identities by name.
+func (a *Admin) List(ctx context.Context) ([]Known, error) {
+	items, _, err := a.Store.List(ctx, Prefix)
+	if err != nil {
+		return nil, err
+	}
+	m := make(map[string]*Known)
+	at := func(name string) *Known {
+		if m[name] == nil {
+			m[name] = &Known{Name: name, Tokens: make(map[string]Token)}
+		}
+		return m[name]
+	}
+	for _, it := range items {
+		if name, ok := strings.CutPrefix(it.Path, WhoPrefix); ok {
+			err = json.Unmarshal(it.Data, &at(name).Record)
+		} else if id, ok := strings.CutPrefix(it.Path, TokenPrefix); ok {
+			var t Token
+			if err = json.Unmarshal(it.Data, &t); err == nil {
+				at(t.Who).Tokens[id] = t
+			}
+		}
+		if err != nil {
+			return nil, fmt.Errorf("identity: %s: %w", it.Path, err)
+		}
+	}
+	var out []Known
+	for _, k := range m {
+		out = append(out, *k)
+	}
+	slices.SortFunc(out, func(x, y Known) int { return strings.Compare(x.Name, y.Name) })
+	return out, nil
+}
--- a/internal/intake/needs.go
+++ b/internal/intake/needs.go
@@ -45,7 +45,7 @@
 			var owner string
 			if open[i], owner, bads[i], err = u.need(gctx, ref); err == nil && bads[i] == nil {
 				// What is waited for is lifted by what waits: not everybody may.
-				_, bads[i] = u.may(who, rights.Need, owner, ref)
+				bads[i] = u.lifts(who, job, ref, owner)
 			}
 			return err
 		})
@@ -66,6 +66,17 @@
 	return nil, nil
 }
 
+// lifts tells why a submission may not name a job that it waits for.
+func (u *Users) lifts(who identity.Caller, job *wire.Job, ref, owner string) error {
+	ask := rights.Request{Do: rights.Need, Owner: owner, Rank: job.Rank}
+	dec := u.door.May(who, ask)
+	if dec.Allowed {
+		return nil
+	}
+	u.door.Refused(who, ask, job.Ref, "waits_on "+ref+": "+dec.Rule)
+	return fmt.Errorf("%w: waits_on %s: %s", errDenied, ref, dec.Rule)
+}
+
 // need looks one job up, and tells whether it is still to be waited for. A
 // withdrawn one is: the leader sees to what becomes of those after it.
 func (u *Users) need(ctx context.Context, ref string) (open bool, owner string, bad, err error) {
--- a/internal/ledger/chunk.go
+++ b/internal/ledger/chunk.go
@@ -158,6 +158,17 @@
 	return c, nil
 }
 
+// BlockOf is the block of the audit record that a stored chunk or ending refers to, or 0.
+func BlockOf(data []byte) uint64 {
+	var v struct {
+		Block uint64 `json:"a"`
+	}
+	if json.Unmarshal(data, &v) != nil {
+		return 0
+	}
+	return v.Block
+}
+
 // WriterOf tells who wrote a stored chunk.
 func WriterOf(data []byte) string {
 	var v chunkValue
--- /dev/null
+++ b/internal/sim/audit_test.go
@@ -0,0 +1,159 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"rillflow/internal/audit"
+	"rillflow/internal/keyring"
+	"rillflow/internal/ledger"
+	"rillflow/internal/state"
+	"rillflow/internal/wire"
+)
+
+// Get, List and Commit are what tools ask of the store.
+
+func (s *store) Get(_ context.Context, key string) (wire.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	it, ok := s.keys[key]
+	if !ok {
+		return it, state.ErrNotFound
+	}
+	return it, nil
+}
+
+func (s *store) List(_ context.Context, under string) (out []wire.Item, gen uint64, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, it := range s.keys {
+		if strings.HasPrefix(k, under) {
+			out = append(out, it)
+		}
+	}
+	slices.SortFunc(out, func(a, b wire.Item) int { return strings.Compare(a.Path, b.Path) })
+	return out, s.rev, nil
+}
+
+func (s *store) Commit(_ context.Context, t wire.Commit) (uint64, []string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, res := s.commit(t)
+	r := res.(wire.Committed)
+	return r.Generation, r.Failed, nil
+}
+
+// newRing makes a key ring in a file.
+func newRing(t *testing.T) (*keyring.Ring, string) {
+	path := filepath.Join(t.TempDir(), "keys")
+	if err := keyring.Init(path); err != nil {
+		t.Fatal(err)
+	}
+	ring, err := keyring.Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ring, path
+}
+
+// history reads the record that a day left, and checks it.
+func history(t *testing.T, w *world, ring *keyring.Ring) (*audit.History, *audit.Archive) {
+	a, err := audit.Read(context.Background(), w.store, ring)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range a.Found {
+		t.Error(f)
+	}
+	h := audit.NewHistory()
+	v := audit.NewVerifier(ring, a.Before)
+	for _, raw := range a.Blocks {
+		b, err := v.Add(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range b.Entries {
+			h.Add(e)
+		}
+	}
+	return h, a
+}
+
+// A day of crashes, cuts and takeovers is told by its record alone: who was accepted
+// and withdrawn, every start of a task with the claim that allowed it, every end, and
+// nothing that did not happen.
+func TestRecordTellsTheDay(t *testing.T) {
+	for seed := range seeds(6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			ring, path := newRing(t)
+			synctest.Test(t, func(t *testing.T) {
+				breaches, w := play(t, 100+seed, seed%2 == 1, fmt.Sprintf("<rillflow><access><audit>on</audit><keys>%s</keys></access></rillflow>", path), nil)
+				for _, b := range breaches {
+					t.Error(b)
+				}
+				h, a := history(t, w, ring)
+				told(t, w, h)
+				leaders := 0
+				for _, e := range h.Others {
+					if e.Act == audit.TookOver {
+						leaders++
+					}
+				}
+				t.Logf("%d blocks, %d entries, %d leaders, %d starts", len(a.Blocks), h.Entries, leaders, w.starts)
+			})
+		})
+	}
+}
+
+// told compares a record with what the world knows to be true.
+func told(t *testing.T, w *world, h *audit.History) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h.Missed > 0 {
+		t.Errorf("%d entries tell of others that are missing", h.Missed)
+	}
+	for ref := range w.jobs {
+		s := h.Jobs[ref]
+		if s == nil {
+			t.Errorf("%s is not in the record", ref)
+			continue
+		}
+		for _, f := range s.Faults {
+			t.Errorf("%s: %s", ref, f)
+		}
+		j := w.jobs[ref]
+		if e := s.Accepted; e == nil || e.Act != audit.Accepted || e.Owner != j.Owner || e.Rank != j.Rank || e.Tasks[0].Index != j.Members || e.Via == "" {
+			t.Errorf("%s: its acceptance is told as %+v", ref, e)
+		}
+		if (w.told[ref] == wire.Withdrawn) != (s.Withdrawn != nil) || (w.told[ref] == wire.Done) != (s.Done != nil) {
+			t.Errorf("%s is %s, told withdrawn %v, done %v", ref, w.told[ref], s.Withdrawn, s.Done)
+		}
+		// One that was asked for may have been carried there from a needed job first.
+		if e := s.Withdrawn; e != nil && (e.Via != "" && !w.asked[ref] || e.Via == "" && e.Why == "") {
+			t.Errorf("%s: asked %v, told %s", ref, w.asked[ref], e.Says())
+		}
+	}
+	claimed := make(map[run]bool)
+	for ref, s := range h.Jobs {
+		if _, ok := w.jobs[ref]; !ok {
+			t.Errorf("%s is in the record, and nobody submitted it", ref)
+		}
+		for _, e := range s.Entries {
+			for _, c := range e.Tasks {
+				if e.Act == audit.Claimed {
+					claimed[run{ledger.Task{Ref: ref, Index: c.Index}, c.Try, c.Host}] = true
+				}
+			}
+		}
+	}
+	for r := range w.ran {
+		if !claimed[r] {
+			t.Errorf("%s ran as try %d on %s without a claim in the record", r.task, r.try, r.host)
+		}
+	}
+}
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -25,7 +25,7 @@
 		machines = n
 	}
 	synctest.Test(t, func(t *testing.T) {
-		ctx, w, st, cl, cs, end := begin(t, 11, float64(4*machines), machines/2)
+		ctx, w, st, cl, cs, end := begin(t, 11, float64(4*machines), machines/2, "")
 		for i := range 24 {
 			j := wire.Job{Ref: fmt.Sprintf("req-%06d", i), Class: "c", Owner: "ab"[i%2 : i%2+1], Shape: wire.Batch, Rank: "standard",
 				Members: machines / 8, Cores: 2, RAM: 2, Bundle: "img", Loaners: i%2 == 0, ExpectS: float64(8 + i)}
--- /dev/null
+++ b/internal/sim/identity_test.go
@@ -0,0 +1,152 @@
+package sim
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rillflow/internal/audit"
+	"rillflow/internal/identity"
+	"rillflow/internal/wire"
+)
+
+const accessXML = `<rillflow><access><identities>on</identities><audit>on</audit><keys>%s</keys>
+<allow who="known" do="read" owner="*"/>
+<allow who="role:curator" do="submit withdraw need" owner="own"/>
+<allow who="role:guest" do="submit withdraw need" owner="own" rank="idle"/>
+</access></rillflow>`
+
+// Who may do what, on whole controllers: a guest does not get above its rank by any
+// way, a token that was withdrawn is of no use on any controller, also on one that was
+// cut off when it was, and the record tells who did what and who was refused.
+func TestIdentities(t *testing.T) {
+	ring, path := newRing(t)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, w, st, _, _, end := begin(t, 5, 24, 3, fmt.Sprintf(accessXML, path))
+		admin := &identity.Admin{Store: st, Ring: ring, By: "root", Audited: true, Now: time.Now}
+		token := func(name, team, role string) string {
+			s, err := admin.Issue(ctx, name, identity.Record{Kind: "person", Teams: []string{team}, Roles: []string{role}}, time.Hour)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return s
+		}
+		ana, gus := token("ana", "a", "curator"), token("gus", "b", "guest")
+		time.Sleep(30 * time.Second)
+		client := &http.Client{Transport: &http.Transport{DialContext: w.net.at("user").Dial, DisableKeepAlives: true}}
+		// ask keeps at it until there is an answer that settles it.
+		ask := func(node int, token, method, path string, body any) int {
+			data, _ := json.Marshal(body)
+			for range 20 {
+				rctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+				req, _ := http.NewRequestWithContext(rctx, method, "http://"+front(node)+path, strings.NewReader(string(data)))
+				if token != "" {
+					req.Header.Set("Authorization", "Bearer "+token)
+				}
+				res, err := client.Do(req)
+				if err == nil {
+					io.Copy(io.Discard, res.Body)
+					res.Body.Close()
+				}
+				cancel()
+				if err == nil && res.StatusCode != 503 {
+					return res.StatusCode
+				}
+				time.Sleep(time.Second)
+			}
+			return 0
+		}
+		job := func(ref, owner, rank string, needs ...string) map[string]any {
+			w.mu.Lock()
+			w.jobs[ref] = wire.Job{Ref: ref, Owner: owner, Shape: wire.Batch, Members: 1, Cores: 1, ExpectS: 30, Needs: needs}
+			w.mu.Unlock()
+			return map[string]any{"ref": ref, "jobclass": "c", "owner": owner, "shape": "batch", "rank": rank, "members": 1, "cores": 1, "accelerators": 0, "ram_gb": 1,
+				"bundle": "img", "size_gb": 1, "same_place": false, "scatter": false, "loaners": true, "expect_s": 30, "snapshot_s": 0, "flush_s": 0, "waits_on": needs}
+		}
+		for i, tc := range []struct {
+			what         string
+			token        string
+			method, path string
+			body         any
+			want         int
+		}{
+			{"anonymous may not submit", "", "POST", "/v1/jobs", job("req-1", "a", "idle"), 403},
+			{"a curator may, for her team", ana, "POST", "/v1/jobs", job("req-2", "a", "urgent"), 201},
+			{"and not for another", ana, "POST", "/v1/jobs", job("req-3", "b", "idle"), 403},
+			{"a guest may not go above its rank", gus, "POST", "/v1/jobs", job("req-4", "b", "standard"), 403},
+			{"and may go at it", gus, "POST", "/v1/jobs", job("req-5", "b", "idle"), 201},
+			{"but not wait for another's job, which it would lift", gus, "POST", "/v1/jobs", job("req-6", "b", "idle", "req-2"), 403},
+			{"nor withdraw one", gus, "POST", "/v1/jobs/req-2/withdraw", nil, 403},
+			{"it may look", gus, "GET", "/v1/jobs/req-2", nil, 200},
+			{"who has no token may not", "", "GET", "/v1/jobs/req-2", nil, 403},
+			{"no such token", "rft_aaaaaaaa_bbbbbbbb", "GET", "/v1/jobs/req-2", nil, 401},
+			{"another's secret", ana[:13] + gus[13:], "GET", "/v1/jobs/req-2", nil, 401},
+			{"a retry is told the state", ana, "POST", "/v1/jobs", job("req-2", "a", "urgent"), 200},
+			{"she may withdraw her own", ana, "POST", "/v1/jobs/req-2/withdraw", nil, 200},
+		} {
+			if got := ask(i%nodes, tc.token, tc.method, tc.path, tc.body); got != tc.want {
+				t.Errorf("%s: %d, want %d", tc.what, got, tc.want)
+			}
+		}
+
+		// The state service refuses one controller; meanwhile the guest is withdrawn.
+		refuse := func(on bool) {
+			st.mu.Lock()
+			defer st.mu.Unlock()
+			st.refuse["host-1"] = on
+			st.cond.Broadcast()
+		}
+		refuse(true)
+		time.Sleep(time.Second)
+		if err := admin.Withdraw(ctx, "gus"); err != nil {
+			t.Fatal(err)
+		}
+		for n, when := range []string{"cut off", "cut off for a lease", "back"} {
+			if got := ask(1, gus, "POST", "/v1/jobs", job(fmt.Sprintf("req-1%d", n), "b", "idle")); got == 200 || got == 201 {
+				t.Errorf("%s: a withdrawn token was taken: %d", when, got)
+			}
+			time.Sleep([]time.Duration{lease, 0, 0}[n])
+			if n == 1 {
+				refuse(false)
+			}
+		}
+		if got := ask(0, gus, "GET", "/v1/jobs/req-5", nil); got != 401 {
+			t.Errorf("a withdrawn token is answered %d", got)
+		}
+		fresh, err := admin.Rotate(ctx, "ana", time.Hour, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * report)
+		if old, now := ask(2, ana, "GET", "/v1/jobs/req-2", nil), ask(2, fresh, "GET", "/v1/jobs/req-2", nil); old != 401 || now != 200 {
+			t.Errorf("after a rotation the old token is answered %d, the new one %d", old, now)
+		}
+		time.Sleep(60 * time.Second)
+		end()
+		for _, b := range w.breaches {
+			t.Error(b)
+		}
+		h, _ := history(t, w, ring)
+		if s := h.Jobs["req-2"]; s == nil || s.Accepted == nil || s.Accepted.Who != "ana" || s.Withdrawn == nil || s.Withdrawn.Who != "ana" {
+			t.Errorf("req-2 is told as %+v", s)
+		}
+		for ref, who := range map[string]string{"req-1": "", "req-3": "ana", "req-4": "gus", "req-6": "gus"} {
+			if s := h.Jobs[ref]; s == nil || len(s.Refused) == 0 || s.Refused[0].Who != who || s.Accepted != nil {
+				t.Errorf("%s, refused to %q, is told as %+v", ref, who, s)
+			}
+		}
+		acts := make(map[string]int)
+		for _, e := range h.Others {
+			acts[e.Act.String()+" "+e.On]++
+		}
+		if acts[audit.Issued.String()+" gus"] != 1 || acts[audit.Revoked.String()+" gus"] < 1 || acts[audit.Revoked.String()+" ana"] != 1 {
+			t.Errorf("identities are told as %v", acts)
+		}
+	})
+}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -58,6 +58,9 @@
 	limit    float64     // of each team, in CPUs
 	upgraded [nodes]bool // told of the lower limits to come
 	starts   int
+	ran      map[run]bool // tries that started
+	operator string       // the operators' settings; "": none of their own
+	store    *store
 	breaches []string
 }
 
@@ -73,11 +76,19 @@
 	w.breaches = append(w.breaches, fmt.Sprintf(format, a...))
 }
 
+// run is a try of a task on a machine.
+type run struct {
+	task ledger.Task
+	try  uint64
+	host string
+}
+
 // on notes a task's start and checks the rules that a start can break.
-func (w *world) on(id ledger.Task, h wire.ListedHost) wire.Job {
+func (w *world) on(id ledger.Task, try uint64, h wire.ListedHost) wire.Job {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts++
+	w.ran[run{id, try, h.Ref}] = true
 	j, ok := w.jobs[id.Ref]
 	if !ok {
 		w.broke("%s started, which nobody submitted", id)
@@ -176,7 +187,7 @@
 }
 
 func (w *world) settings(n int) *settings.Settings {
-	op, err := settings.ParseOperator(nil)
+	op, err := settings.ParseOperator([]byte(w.operator))
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -387,11 +398,12 @@
 
 // begin sets up a world of controllers and what they need, with a limit for each
 // team and as many machines of a kind as the most. end takes it down again.
-func begin(t testing.TB, seed uint64, limit float64, most int) (ctx context.Context, w *world, st *store, cl *cloud, cs *[nodes]*node, end func()) {
+func begin(t testing.TB, seed uint64, limit float64, most int, operator string) (ctx context.Context, w *world, st *store, cl *cloud, cs *[nodes]*node, end func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	w = &world{t: t, ctx: ctx, limit: limit, rnd: rand.New(rand.NewPCG(seed, 6)), net: newNetwork(rand.New(rand.NewPCG(seed, 8))), workers: map[string]*worker{}, jobs: map[string]wire.Job{},
-		where: map[ledger.Task]string{}, done: map[ledger.Task]bool{}, told: map[string]string{}, gone: map[string]time.Time{}, asked: map[string]bool{}, accepted: map[string]chan struct{}{}}
+		where: map[ledger.Task]string{}, done: map[ledger.Task]bool{}, told: map[string]string{}, gone: map[string]time.Time{}, asked: map[string]bool{}, accepted: map[string]chan struct{}{}, ran: map[run]bool{}, operator: operator}
 	st = newStore(rand.New(rand.NewPCG(seed, 9)), w.broke)
+	w.store = st
 	cl = &cloud{w: w, most: most, asks: map[string][]string{}, hosts: map[string]wire.ListedHost{}, seen: map[string]time.Time{}, count: map[string]int{},
 		types: []wire.MachineType{{Label: "m", Cores: 8, RAM: 32, LocalGB: 20, PullRate: 1, Rate: 1, SpotPrice: 0.5, ReadyS: 3, Locales: []string{"a", "b"}}}}
 	var servers []*http.Server
@@ -438,9 +450,9 @@
 // seed; after them there is time to recover. On a day with pipelines the
 // controllers first come back one by one knowing of lower limits, which then
 // come into force while jobs laid out before are on hand.
-func play(t testing.TB, seed uint64, piped bool, tamper func(*world)) (breaches []string, w *world) {
+func play(t testing.TB, seed uint64, piped bool, operator string, tamper func(*world)) (breaches []string, w *world) {
 	rnd := rand.New(rand.NewPCG(seed, 7))
-	ctx, w, st, cl, cs, stop := begin(t, seed, 24, 3)
+	ctx, w, st, cl, cs, stop := begin(t, seed, 24, 3, operator)
 	for i := range 14 {
 		j := wire.Job{Ref: fmt.Sprintf("req-%06d", i), Class: "c", Owner: []string{"a", "b"}[i%2], Shape: wire.Batch, Rank: "standard",
 			Members: 1 + rnd.IntN(8), Cores: float64(1 + rnd.IntN(3)), RAM: 2, Bundle: "img", Loaners: i%3 == 0, ExpectS: float64(3 + rnd.IntN(20))}
@@ -589,15 +601,19 @@
 	})
 }
 
-func TestRulesHold(t *testing.T) {
-	seeds := uint64(8)
+// seeds is how many days a test plays: as many as the environment says, or a few.
+func seeds(few uint64) uint64 {
 	if n, err := strconv.ParseUint(os.Getenv("SIM_SEEDS"), 10, 64); err == nil {
-		seeds = n
+		return n
 	}
-	for seed := range seeds {
+	return few
+}
+
+func TestRulesHold(t *testing.T) {
+	for seed := range seeds(8) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				breaches, w := play(t, seed, seed%2 == 1, nil)
+				breaches, w := play(t, seed, seed%2 == 1, "", nil)
 				for _, b := range breaches {
 					t.Error(b)
 				}
@@ -657,7 +673,7 @@
 	} {
 		t.Run(tc.rule, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				breaches, _ := play(t, 1, false, tc.tamper)
+				breaches, _ := play(t, 1, false, "", tc.tamper)
 				if !slices.ContainsFunc(breaches, func(b string) bool { return strings.HasPrefix(b, tc.rule) }) {
 					t.Errorf("not noticed among %d breaches", len(breaches))
 				}
@@ -671,7 +687,7 @@
 // share a change.
 func TestManyHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, w, st, cl, cs, end := begin(t, 3, 1200, 100)
+		ctx, w, st, cl, cs, end := begin(t, 3, 1200, 100, "")
 		const jobs, members = 12, 150
 		for i := range jobs {
 			w.submit(ctx, wire.Job{Ref: fmt.Sprintf("req-%06d", i), Class: "c", Owner: "ab"[i%2 : i%2+1], Shape: wire.Batch, Rank: "standard",
--- a/internal/sim/worker_test.go
+++ b/internal/sim/worker_test.go
@@ -193,7 +193,7 @@
 		return
 	}
 	id, _ := ledger.ParseTask(t.Member.Member)
-	j := k.w.on(id, k.h)
+	j := k.w.on(id, t.Try, k.h)
 	t.Phase = wire.Running
 	k.nudge()
 	if j.Shape == wire.Batch {
