--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -333,3 +333,38 @@
 		t.Error("a finish is never written, or before what is urgent")
 	}
 }
+
+// Of the jobs that are about to lose a time, those with the least work go first, as many
+// as there is room for; the rest have lost it and stand behind those with time left.
+func TestRationOfLateJobs(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		tasks  []int // of the jobs that are about to lose their time, 10 cores each
+		last   int
+		expect float64 // of a run, in seconds
+	}{
+		{"room for all", []int{4, 3, 2}, 3, 20},
+		{"room for some", []int{9, 8, 3}, 2, 20},
+		{"a single one is not judged", []int{40}, 1, 20},
+		{"no room", []int{30, 20, 12, 11}, 1, 20},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := term(t)
+			at := now.Add(40 * time.Second) // of 60, with 1.5 times 20 to run and half a lease to spare
+			var jobs []*ledger.Job
+			for i, n := range tc.tasks {
+				jobs = append(jobs, r.add(fmt.Sprint("req-", i), wire.Job{Class: "f", Shape: wire.Batch, Rank: "standard", Members: n, Cores: 10, ExpectS: tc.expect}))
+			}
+			early := r.add("req-9", wire.Job{Class: "f", Shape: wire.Batch, Rank: "standard", Members: 1, Cores: 1, ExpectS: 20})
+			early.At, early.ReadyAt = at, at
+			jobs = append(jobs, early)
+			r.order(jobs, at)
+			for i, j := range jobs {
+				first := tc.tasks[len(tc.tasks)-1-min(i, len(tc.tasks)-1)]
+				if i < tc.last && j.Spec.Members != first || i == tc.last && j != early {
+					t.Errorf("place %d has %s with %d tasks", i, j.Ref, j.Spec.Members)
+				}
+			}
+		})
+	}
+}
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -335,17 +335,54 @@
 	return qs
 }
 
+// ordered is a job with what it is ordered by.
+type ordered struct {
+	j *ledger.Job
+	u urgency
+}
+
+// ration lets only as many jobs go first for being about to lose a time as there will
+// be room for in that moment, the least work first: in a long overload nearly all are
+// about to lose one, the largest would go before all others, and most would lose it all
+// the same. What there is no room for has lost its time already, but for the clock.
+func (r *reign) ration(es []ordered) {
+	var last []*ordered
+	for i := range es {
+		if es[i].u.last {
+			last = append(last, &es[i])
+		}
+	}
+	if len(last) < 2 {
+		return
+	}
+	slices.SortFunc(last, func(a, b *ordered) int {
+		return cmp.Or(cmp.Compare(a.u.work, b.u.work), cmp.Compare(a.j.Ref, b.j.Ref))
+	})
+	margin := (r.set.Lease() / 2).Seconds()
+	room := make(map[string]float64) // cores by team
+	for _, e := range last {
+		s := &e.j.Spec
+		if _, ok := room[s.Owner]; !ok {
+			limit, used := r.led.Team(s.Owner).CPUsMax, r.led.Usage(s.Owner).CPUs
+			room[s.Owner] = limit - used + used*min(1, margin/max(s.ExpectS, 1))
+		}
+		if room[s.Owner] <= 0 {
+			e.u.last = false
+			e.u.stage++
+			continue
+		}
+		room[s.Owner] -= float64(e.j.WaitingTasks()) * max(s.Cores, 1)
+	}
+}
+
 // order sorts jobs as their tasks go within a type.
 func (r *reign) order(jobs []*ledger.Job, now time.Time) {
-	type entry struct {
-		j *ledger.Job
-		u urgency
-	}
-	es := make([]entry, len(jobs))
+	es := make([]ordered, len(jobs))
 	for i, j := range jobs {
-		es[i] = entry{j, r.urgency(j, now)}
+		es[i] = ordered{j, r.urgency(j, now)}
 	}
-	slices.SortFunc(es, func(a, b entry) int {
+	r.ration(es)
+	slices.SortFunc(es, func(a, b ordered) int {
 		return cmp.Or(a.u.compare(b.u), a.j.ReadyAt.Compare(b.j.ReadyAt), cmp.Compare(a.j.Ref, b.j.Ref))
 	})
 	for i, e := range es {
