--- a/cmd/rillflow/tools.go
+++ b/cmd/rillflow/tools.go
@@ -104,13 +104,15 @@
 }
 
 type keysRotateCmd struct {
-	File string `arg:"" help:"The ring's file."`
+	File  string        `arg:"" help:"The ring's file."`
+	After time.Duration `default:"1h" help:"When the key is in use: by then every controller must have the file."`
 }
 
 func (c *keysRotateCmd) Run() error {
-	id, err := keyring.Rotate(c.File)
+	from := time.Now().Add(c.After)
+	id, err := keyring.Rotate(c.File, from)
 	if err == nil {
-		fmt.Printf("key %d is in use once this file is on every controller: copy it to all, then start them again one by one\n", id)
+		fmt.Printf("key %d is in use from %s on: copy the file to every controller before\n", id, from.UTC().Format(time.RFC3339))
 	}
 	return err
 }
--- a/internal/control/chain_test.go
+++ b/internal/control/chain_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"rillflow/internal/ledger"
+	"rillflow/internal/rights"
 	"rillflow/internal/settings"
 	"rillflow/internal/wire"
 )
@@ -227,6 +231,68 @@
 	}
 }
 
+// Whatever a guest submits and waits for, and whatever others wait for of it: none of
+// its jobs goes above the rank that it may have, and no job of another team goes higher
+// for its sake.
+func TestGuestLiftsNothing(t *testing.T) {
+	rules := rights.Rules{Allow: []rights.Rule{
+		{Who: "role:guest", Do: "submit need", Rank: "standard"},
+		{Who: "role:curator", Do: "submit need", Owner: "t u"},
+	}}
+	guest := rights.Identity{Name: "gus", Kind: rights.Person, Teams: []string{"u"}, Roles: []string{"guest"}}
+	curator := rights.Identity{Name: "ana", Kind: rights.Person, Teams: []string{"t"}, Roles: []string{"curator"}}
+	rapid.Check(t, func(rt *rapid.T) {
+		r := term(t)
+		type known struct {
+			j     *ledger.Job
+			guest bool
+			needs []int
+		}
+		var jobs []known
+		for i := range rapid.IntRange(2, 12).Draw(rt, "jobs") {
+			who := &curator
+			if rapid.Bool().Draw(rt, "guest") {
+				who = &guest
+			}
+			spec := wire.Job{Owner: rapid.SampledFrom([]string{"t", "u"}).Draw(rt, "owner"), Shape: wire.Batch, Members: 1, Cores: 1, Rank: named(rapid.IntRange(0, 3).Draw(rt, "rank"))}
+			dec := rules.Decide(who, rights.Request{Do: rights.Submit, Owner: spec.Owner, Rank: spec.Rank})
+			k := known{guest: who == &guest}
+			for n := range jobs {
+				if rapid.Bool().Draw(rt, "need") {
+					dec.Allowed = dec.Allowed && rules.Decide(who, rights.Request{Do: rights.Need, Owner: jobs[n].j.Spec.Owner}).Allowed
+					spec.Needs = append(spec.Needs, jobs[n].j.Ref)
+					k.needs = append(k.needs, n)
+				}
+			}
+			if !dec.Allowed {
+				continue
+			}
+			k.j = r.add(fmt.Sprint("req-", i), spec)
+			k.j.Origin = &ledger.Origin{Cap: dec.Cap}
+			jobs = append(jobs, k)
+		}
+		// best is the highest rank that curators ask for of what needs a job, or it.
+		best := make([]int, len(jobs))
+		for i := len(jobs) - 1; i >= 0; i-- {
+			best[i] = rankOf(jobs[i].j.Spec.Rank)
+			for n := i + 1; n < len(jobs); n++ {
+				if slices.Contains(jobs[n].needs, i) && !jobs[n].guest {
+					best[i] = min(best[i], best[n])
+				}
+			}
+		}
+		for i, k := range jobs {
+			got := r.rank(k.j)
+			if k.guest && got < rankOf("standard") {
+				rt.Fatalf("%s, a guest's, goes by %s", k.j.Ref, named(got))
+			}
+			if k.j.Spec.Owner == "t" && got < best[i] {
+				rt.Fatalf("%s goes by %s for a guest's sake, not %s", k.j.Ref, named(got), named(best[i]))
+			}
+		}
+	})
+}
+
 // What needs a job lifts it no higher than whoever submitted it may have.
 func TestLiftIsCapped(t *testing.T) {
 	for _, tc := range []struct{ cap, want string }{{"", "production"}, {"production", "production"}, {"standard", "standard"}, {"idle", "idle"}} {
--- a/internal/control/record.go
+++ b/internal/control/record.go
@@ -33,6 +33,7 @@
 	log   *slog.Logger
 	turn  chan struct{} // has one token, held from making blocks until their fate is known
 	head  audit.Head    // under turn
+	key   uint32        // that the last block is sealed under, under turn
 	told  int           // blocks that were written, under turn
 	bytes int           // of their values, under turn
 
@@ -119,7 +120,9 @@
 	if err == nil {
 		var b *audit.Block
 		if b, err = audit.Open(raw); err == nil {
-			err = b.Sealed(r.ring)
+			if err = b.Sealed(r.ring); err == nil {
+				r.key = b.Key
+			}
 		}
 	}
 	if err != nil {
@@ -260,7 +263,7 @@
 			r.missed += len(es)
 			continue
 		}
-		b, err := audit.Make(r.ring, head, epoch, r.node, now, es)
+		b, err := audit.Make(r.ring, head, r.key, epoch, r.node, now, es)
 		if err != nil {
 			return err
 		}
@@ -293,7 +296,7 @@
 		return
 	}
 	if n := len(w.blocks); n > 0 {
-		r.head = w.blocks[n-1].Head()
+		r.head, r.key = w.blocks[n-1].Head(), w.blocks[n-1].Key
 		r.told += n
 		r.bytes += w.bytes
 	}
--- a/internal/identity/identity_test.go
+++ b/internal/identity/identity_test.go
@@ -111,6 +111,25 @@
 	}
 }
 
+func FuzzCheck(f *testing.F) {
+	ring := keyring.Fresh()
+	token, id, tok, err := Issue(ring, "ana", time.Unix(0, 0), time.Unix(1<<40, 0))
+	if err != nil {
+		f.Fatal(err)
+	}
+	r := New(ring, time.Hour, 0, slog.New(slog.DiscardHandler))
+	r.fresh = time.Now()
+	r.tokens[id] = stamped[Token]{tok, 1}
+	r.who["ana"] = stamped[Record]{Record{Kind: "person"}, 1}
+	f.Add(token)
+	f.Add(token[:len(token)-1])
+	f.Fuzz(func(t *testing.T, s string) {
+		if c, err := r.Check(s); (err == nil) != (s == token) {
+			t.Fatalf("%q is taken for %+v, %v", s, c, err)
+		}
+	})
+}
+
 // What was checked by an old copy is not done once the token is withdrawn: its guards
 // no longer hold.
 func TestGuardsOutliveTheCopy(t *testing.T) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -132,6 +132,9 @@
 	g.Go(func() error { return d.el.Run(gctx, d.control.Serve) })
 	g.Go(func() error { return d.probe(gctx) })
 	g.Go(func() error { return d.door.Run(gctx, set.Report()) })
+	if ring != nil {
+		g.Go(func() error { return ring.Follow(gctx, set.Lease(), log) })
+	}
 	log.Info("serving", "front", set.Front, "back", set.Back)
 	return g.Wait()
 }
--- a/internal/sim/audit_test.go
+++ b/internal/sim/audit_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"rillflow/internal/audit"
 	"rillflow/internal/keyring"
@@ -92,12 +93,20 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			ring, path := newRing(t)
 			synctest.Test(t, func(t *testing.T) {
+				if seed%3 == 0 {
+					// The key is replaced in the middle of the day.
+					rotate := time.AfterFunc(20*time.Second, func() { keyring.Rotate(path, time.Now().Add(2*lease)) })
+					defer rotate.Stop()
+				}
 				breaches, w := play(t, 100+seed, seed%2 == 1, fmt.Sprintf("<rillflow><access><audit>on</audit><keys>%s</keys></access></rillflow>", path), nil)
 				for _, b := range breaches {
 					t.Error(b)
 				}
 				h, a := history(t, w, ring)
 				told(t, w, h)
+				if last, err := audit.Open(a.Blocks[len(a.Blocks)-1]); err != nil || (last.Key == 2) != (seed%3 == 0) {
+					t.Errorf("the last block is sealed under key %d, %v", last.Key, err)
+				}
 				leaders := 0
 				for _, e := range h.Others {
 					if e.Act == audit.TookOver {
