The status page tells an unheard state service from a bad token

Cause: with identities on, an operator's token that could not be checked in a long outage was answered 401, as if it were wrong, when status is needed most.

--- a/internal/serve/front.go
+++ b/internal/serve/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 
 	"rillflow/internal/agent"
 	"rillflow/internal/control"
+	"rillflow/internal/identity"
 	"rillflow/internal/intake"
 	"rillflow/internal/lead"
 	"rillflow/internal/part"
@@ -163,7 +165,11 @@
 func (d *daemon) status(w http.ResponseWriter, r *http.Request) {
 	who, err := d.door.Who(r)
 	if err != nil {
-		reply(w, http.StatusUnauthorized, wire.Error{Error: err.Error()})
+		status := http.StatusUnauthorized
+		if errors.Is(err, identity.ErrStale) {
+			status = http.StatusServiceUnavailable
+		}
+		reply(w, status, wire.Error{Error: err.Error()})
 		return
 	}
 	if dec := d.door.May(who, rights.Request{Do: rights.Status}); !dec.Allowed {
