Mend: one follower, one slip, one judge; ranks in one place; no dead counts

Two new duties wrote the same list-then-watch loop; three places sealed a slip and made its change, two read one; four decided and then noted a refusal; the ranks were listed three times; the record counted blocks and bytes that nobody read; a head was read by a scan that let digits too many pass; the duty that writes refusals was not waited for at the end.

Behaviour and the tests' assertions stay.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -37,11 +37,11 @@
 	log   *slog.Logger
 	now   func() time.Time
 
-	mu      sync.Mutex
-	refused []audit.Entry
-	missed  int
-	slips   uint64 // written
-	began   int64
+	mu     sync.Mutex
+	denied []audit.Entry
+	missed int
+	slips  uint64 // written
+	began  int64
 
 	out *slipped // the report duty's alone
 }
@@ -61,7 +61,9 @@
 // Run follows the identities and writes down refusals until ctx ends.
 func (d *Door) Run(ctx context.Context, every time.Duration) error {
 	if d.told {
-		go d.report(ctx)
+		var wg sync.WaitGroup
+		wg.Go(func() { d.report(ctx) })
+		defer wg.Wait()
 	}
 	if d.who == nil {
 		<-ctx.Done()
@@ -91,6 +93,15 @@
 	return d.rules.Decide(&c.Identity, q)
 }
 
+// Judge decides, and notes a refusal on a job; about goes before its reason.
+func (d *Door) Judge(c identity.Caller, q rights.Request, job, about string) rights.Decision {
+	dec := d.May(c, q)
+	if !dec.Allowed {
+		d.refused(c, q, job, about+dec.Rule)
+	}
+	return dec
+}
+
 // Open tells whether identities are off.
 func (d *Door) Open() bool { return d.rules == nil }
 
@@ -119,31 +130,31 @@
 
 func (d *Door) slip(place string, entries []audit.Entry) ([]wire.Change, error) {
 	s := audit.Slip{Entries: entries}
-	raw, err := s.Encode(d.ring, place)
+	put, err := s.Change(d.ring, place)
 	if err != nil {
 		return nil, fmt.Errorf("access: %w", err)
 	}
-	return []wire.Change{{Put: place, Data: audit.Value(raw)}}, nil
+	return []wire.Change{put}, nil
 }
 
 // maxRefused bounds the refusals that wait to be written; the rest are counted.
 const maxRefused = 64
 
-// Refused notes that something was not allowed. Nothing is committed for it, so it is
+// refused notes that something was not allowed. Nothing is committed for it, so it is
 // told a little later, and only so many at a time: nobody can fill the record, or use
 // up the state service, by being refused.
-func (d *Door) Refused(c identity.Caller, q rights.Request, job, why string) {
+func (d *Door) refused(c identity.Caller, q rights.Request, job, why string) {
 	d.log.Info("refused", "who", c.Name, "do", q.Do, "job", job, "owner", q.Owner, "rank", q.Rank, "why", why)
 	if !d.told {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.refused) >= maxRefused {
+	if len(d.denied) >= maxRefused {
 		d.missed++
 		return
 	}
-	d.refused = append(d.refused, audit.Entry{At: d.now(), Act: audit.Refused, Who: c.Name, Via: d.node, On: job, For: q.Do, Why: why, Owner: q.Owner, Rank: q.Rank})
+	d.denied = append(d.denied, audit.Entry{At: d.now(), Act: audit.Refused, Who: c.Name, Via: d.node, On: job, For: q.Do, Why: why, Owner: q.Owner, Rank: q.Rank})
 }
 
 // report writes refusals down, some at a time.
@@ -189,7 +200,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.refused = append(d.refused[:0], d.refused[d.out.n:]...)
+	d.denied = append(d.denied[:0], d.denied[d.out.n:]...)
 	d.missed -= d.out.missed
 	d.slips++
 	d.out = nil
@@ -200,12 +211,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := &slipped{place: fmt.Sprintf("%s%s.%x.%d", audit.SlipPrefix, d.node, d.began, d.slips)}
-	entries := append([]audit.Entry(nil), d.refused...)
+	entries := append([]audit.Entry(nil), d.denied...)
 	for audit.Size(entries) > d.st.Value()/2 && len(entries) > 1 {
 		entries = entries[:len(entries)/2] // the rest takes its turn
 	}
 	s.n = len(entries)
-	if s.n == len(d.refused) && d.missed > 0 {
+	if s.n == len(d.denied) && d.missed > 0 {
 		s.missed = d.missed
 		entries = append(entries, audit.Entry{At: d.now(), Act: audit.Missed, Via: d.node, Why: strconv.Itoa(d.missed)})
 	}
--- a/internal/access/access_test.go
+++ b/internal/access/access_test.go
@@ -38,7 +38,7 @@
 	d := New(set, st, keyring.Fresh(), slog.New(slog.DiscardHandler))
 	refuse := func(n int) {
 		for range n {
-			d.Refused(identity.Caller{}, rights.Request{Do: rights.Submit, Owner: "museum", Rank: "urgent"}, "req-1", "no rule allows it")
+			d.refused(identity.Caller{}, rights.Request{Do: rights.Submit, Owner: "museum", Rank: "urgent"}, "req-1", "no rule allows it")
 		}
 	}
 	refuse(maxRefused + 1000)
@@ -58,8 +58,8 @@
 	}
 	// 64 and the 1,000 that are counted, and what came meanwhile: each is either in a
 	// slip, or waits, or is counted.
-	if len(d.refused) >= maxRefused || d.missed != 0 && d.missed < 1000 || d.missed > 1002 {
-		t.Errorf("%d wait, %d are counted", len(d.refused), d.missed)
+	if len(d.denied) >= maxRefused || d.missed != 0 && d.missed < 1000 || d.missed > 1002 {
+		t.Errorf("%d wait, %d are counted", len(d.denied), d.missed)
 	}
 }
 
--- a/internal/audit/archive.go
+++ b/internal/audit/archive.go
@@ -49,8 +49,11 @@
 	for _, it := range a.keys {
 		seq, ok := BlockSeq(it.Path)
 		raw, err := Raw(it.Data)
-		if !ok || err != nil {
-			a.Found = append(a.Found, fmt.Errorf("key %s: %w", it.Path, errors.Join(err)))
+		if !ok {
+			err = errors.New("it is no block's")
+		}
+		if err != nil {
+			a.Found = append(a.Found, fmt.Errorf("key %s: %w", it.Path, err))
 			continue
 		}
 		if b, err := Open(raw); err == nil && b.Seq != seq {
@@ -63,14 +66,10 @@
 
 // openMark reads the mark of what was trimmed: a slip whose one entry names a head.
 func openMark(ring *keyring.Ring, value []byte) (Head, error) {
-	raw, err := Raw(value)
-	if err != nil {
-		return Head{}, err
-	}
 	if ring == nil {
 		return Head{}, keyring.ErrUnknown
 	}
-	s, err := OpenSlip(ring, TrimKey, raw)
+	s, err := ReadSlip(ring, TrimKey, value)
 	if err != nil {
 		return Head{}, err
 	}
@@ -111,11 +110,11 @@
 			return removed, nil
 		}
 		s := Slip{Entries: []Entry{{At: time.Now(), Act: Trimmed, On: head.String()}}}
-		raw, err := s.Encode(ring, TrimKey)
+		put, err := s.Change(ring, TrimKey)
 		if err != nil {
 			return removed, err
 		}
-		txn.Apply = append(txn.Apply, wire.Change{Put: TrimKey, Data: Value(raw)})
+		txn.Apply = append(txn.Apply, put)
 		gen, failed, err := st.Commit(ctx, txn)
 		if err != nil {
 			return removed, err
--- a/internal/audit/block.go
+++ b/internal/audit/block.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/base64"
 	"encoding/binary"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -44,13 +45,15 @@
 
 // ParseHead reads what String wrote.
 func ParseHead(s string) (h Head, err error) {
-	seq, hash, _ := strings.Cut(s, ":")
-	h.Seq, err = strconv.ParseUint(seq, 10, 64)
-	if n, err2 := fmt.Sscanf(hash, "%64x", &hash); n != 1 || err2 != nil || len(hash) != keyring.Size {
+	seq, digits, _ := strings.Cut(s, ":")
+	hash, err := hex.DecodeString(digits)
+	n, err2 := strconv.ParseUint(seq, 10, 64)
+	if err != nil || err2 != nil || len(hash) != len(h.Hash) {
 		return h, errors.New("a head is a number, a colon and 64 hexadecimal digits")
 	}
 	copy(h.Hash[:], hash)
-	return h, err
+	h.Seq = n
+	return h, nil
 }
 
 // Block is a link of the chain.
--- a/internal/audit/note.go
+++ b/internal/audit/note.go
@@ -6,6 +6,7 @@
 
 	"rillflow/internal/codec"
 	"rillflow/internal/keyring"
+	"rillflow/internal/wire"
 )
 
 // Slip is what a controller that does not lead writes in the transaction of what it
@@ -32,6 +33,21 @@
 	return append(raw, seal[:]...), nil
 }
 
+// Change is what puts a slip into the state service.
+func (s *Slip) Change(ring *keyring.Ring, place string) (wire.Change, error) {
+	raw, err := s.Encode(ring, place)
+	return wire.Change{Put: place, Data: Value(raw)}, err
+}
+
+// ReadSlip reads a slip from the value under its key, and checks its seal.
+func ReadSlip(ring *keyring.Ring, key string, value []byte) (*Slip, error) {
+	raw, err := Raw(value)
+	if err != nil {
+		return nil, err
+	}
+	return OpenSlip(ring, key, raw)
+}
+
 // OpenSlip reads a slip and checks its seal.
 func OpenSlip(ring *keyring.Ring, place string, raw []byte) (*Slip, error) {
 	if len(raw) < slipFixed+sealLen || raw[0] != format {
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -534,18 +534,18 @@
 	return rankOf("idle") + 1 + r.rank(j)
 }
 
-// ranks in their order.
-func ranks() [4]string { return [4]string{"production", "urgent", "standard", "idle"} }
-
 // named is a rank by its place.
-func named(rank int) string { return ranks()[rank] }
+func named(rank int) string { return wire.Ranks()[rank] }
 
 // rankOf orders ranks.
 func rankOf(rank string) int {
-	for i, r := range ranks() {
-		if r == rank {
-			return i
-		}
+	switch rank {
+	case "production":
+		return 0
+	case "urgent":
+		return 1
+	case "standard":
+		return 2
 	}
-	return len(ranks()) - 1
+	return 3
 }
--- a/internal/control/record.go
+++ b/internal/control/record.go
@@ -28,14 +28,12 @@
 // one of its own soon after. The queue goes first: a task is never claimed again
 // before the record tells why it was free.
 type record struct {
-	ring  *keyring.Ring
-	node  string
-	log   *slog.Logger
-	turn  chan struct{} // has one token, held from making blocks until their fate is known
-	head  audit.Head    // under turn
-	key   uint32        // that the last block is sealed under, under turn
-	told  int           // blocks that were written, under turn
-	bytes int           // of their values, under turn
+	ring *keyring.Ring
+	node string
+	log  *slog.Logger
+	turn chan struct{} // has one token, held from making blocks until their fate is known
+	head audit.Head    // under turn
+	key  uint32        // that the last block is sealed under, under turn
 
 	// What follows is guarded by the reign's lock.
 	queue  []audit.Entry
@@ -174,14 +172,6 @@
 	return r != nil && len(r.queue) > 0 && (len(r.queue) >= maxNoting/2 || audit.Size(r.queue) > value/2)
 }
 
-// accepted is the entry of a job's submission, once.
-func (r *record) accepted(j *ledger.Job) []audit.Entry {
-	if j.Told {
-		return nil
-	}
-	return []audit.Entry{audit.Accepting(r.ring, j.Record())}
-}
-
 // writing is a batch with the blocks that tell of it.
 type writing struct {
 	*ledger.Batch
@@ -191,7 +181,6 @@
 	slips  []string // taken in
 	jobs   []*ledger.Job
 	claims []*ledger.Held
-	bytes  int
 }
 
 // attach adds to a batch the blocks that tell of it, and of what is queued. ops is
@@ -208,8 +197,8 @@
 		entries = append(entries, audit.Entry{At: now, Act: audit.Missed, Why: strconv.Itoa(r.missed)})
 	}
 	for _, d := range w.Decisions() {
-		for _, e := range r.accepted(d.Job) {
-			entries = append(entries, e)
+		if !d.Job.Told {
+			entries = append(entries, audit.Accepting(r.ring, d.Job.Record()))
 			w.jobs = append(w.jobs, d.Job)
 			d.Job.Told = true
 		}
@@ -248,7 +237,10 @@
 	}
 	var entries []audit.Entry
 	for _, j := range js {
-		entries = append(append(entries, r.accepted(j)...), audit.Entry{At: now, Act: audit.Withdrawn, On: j.Ref, Why: "needs " + j.Doomed()})
+		if !j.Told {
+			entries = append(entries, audit.Accepting(r.ring, j.Record()))
+		}
+		entries = append(entries, audit.Entry{At: now, Act: audit.Withdrawn, On: j.Ref, Why: "needs " + j.Doomed()})
 	}
 	return r.seal(w, entries, epoch, now, ops, value)
 }
@@ -269,11 +261,9 @@
 		}
 		head = b.Head()
 		w.blocks = append(w.blocks, b)
-		v := audit.Value(b.Raw)
-		w.bytes += len(v)
 		key := audit.BlockKey(b.Seq)
 		w.Guards = append(w.Guards, wire.Guard{Path: key})
-		w.Apply = append(w.Apply, wire.Change{Put: key, Data: v})
+		w.Apply = append(w.Apply, wire.Change{Put: key, Data: audit.Value(b.Raw)})
 	}
 	return nil
 }
@@ -297,8 +287,6 @@
 	}
 	if n := len(w.blocks); n > 0 {
 		r.head, r.key = w.blocks[n-1].Head(), w.blocks[n-1].Key
-		r.told += n
-		r.bytes += w.bytes
 	}
 	if w.noted > 0 {
 		r.queue = append(r.queue[:0], r.queue[w.noted:]...)
@@ -344,11 +332,7 @@
 
 // take takes in a slip that another controller wrote. Run it with the reign's lock.
 func (r *record) take(key string, data json.RawMessage, stamp uint64) {
-	raw, err := audit.Raw(data)
-	var s *audit.Slip
-	if err == nil {
-		s, err = audit.OpenSlip(r.ring, key, raw)
-	}
+	s, err := audit.ReadSlip(r.ring, key, data)
 	if err != nil {
 		r.log.Error("a slip for the audit record is not sound", "key", key, "err", err)
 		r.slips[key] = slip{stamp, []audit.Entry{{At: time.Now(), Act: audit.Unsealed, On: key, Why: err.Error()}}}
@@ -362,44 +346,27 @@
 	if r.rec == nil {
 		return nil
 	}
-	var gen uint64
-	for try := 0; ctx.Err() == nil; {
-		if gen == 0 {
-			items, at, err := r.st.List(ctx, audit.SlipPrefix)
-			if err != nil {
-				state.Backoff(ctx, try, r.set.Report()/32, r.set.Report()/4)
-				try++
-				continue
-			}
+	return r.st.Follow(ctx, state.Follower{
+		Under: audit.SlipPrefix, Wait: r.set.Lease() / 2, Base: r.set.Report() / 32, Limit: r.set.Report() / 4,
+		Whole: func(items []wire.Item, _ time.Time) {
 			r.mu.Lock()
 			for _, it := range items {
 				r.rec.take(it.Path, it.Data, it.Stamp)
 			}
 			r.mu.Unlock()
-			gen = max(at, 1)
 			kick(r.flushes)
-		}
-		log, err := r.st.Watch(ctx, audit.SlipPrefix, gen, r.set.Lease()/2)
-		if err != nil {
-			if errors.Is(err, state.ErrTooOld) {
-				gen = 0
+		},
+		News: func(log []wire.Change, _ time.Time) {
+			r.mu.Lock()
+			for _, ch := range log {
+				if ch.Put != "" {
+					r.rec.take(ch.Put, ch.Data, ch.Stamp)
+				}
 			}
-			state.Backoff(ctx, try, r.set.Report()/32, r.set.Report()/4)
-			try++
-			continue
-		}
-		try = 0
-		gen = max(gen, log.Generation)
-		r.mu.Lock()
-		for _, ch := range log.Log {
-			if ch.Put != "" {
-				r.rec.take(ch.Put, ch.Data, ch.Stamp)
+			r.mu.Unlock()
+			if len(log) > 0 {
+				kick(r.flushes)
 			}
-		}
-		r.mu.Unlock()
-		if len(log.Log) > 0 {
-			kick(r.flushes)
-		}
-	}
-	return ctx.Err()
+		},
+	})
 }
--- a/internal/identity/admin.go
+++ b/internal/identity/admin.go
@@ -52,11 +52,11 @@
 		// The name is used once: the records' stamps are in the guards.
 		place := fmt.Sprintf("%s%s.%x", audit.SlipPrefix, e.On, a.Now().UnixNano())
 		s := audit.Slip{Entries: []audit.Entry{e}}
-		raw, err := s.Encode(a.Ring, place)
+		put, err := s.Change(a.Ring, place)
 		if err != nil {
 			return err
 		}
-		txn.Apply = append(txn.Apply, wire.Change{Put: place, Data: audit.Value(raw)})
+		txn.Apply = append(txn.Apply, put)
 	}
 	return a.settle(ctx, txn)
 }
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -172,34 +172,7 @@
 // Follow keeps the copy until ctx ends. every is how long a watch lasts: the copy is
 // known to be whole at least that often.
 func (r *Registry) Follow(ctx context.Context, st *state.Client, every time.Duration) error {
-	var gen uint64
-	for try := 0; ctx.Err() == nil; {
-		var err error
-		began := r.now()
-		if gen == 0 {
-			var items []wire.Item
-			if items, gen, err = st.List(ctx, Prefix); err == nil {
-				r.replace(items, began)
-				gen = max(gen, 1)
-			}
-		} else {
-			var log wire.ChangeLog
-			if log, err = st.Watch(ctx, Prefix, gen, every); err == nil {
-				gen = max(gen, log.Generation)
-				r.apply(log.Log, began)
-			}
-		}
-		if err != nil {
-			if errors.Is(err, state.ErrTooOld) {
-				gen = 0
-			}
-			state.Backoff(ctx, try, every/16, every)
-			try++
-			continue
-		}
-		try = 0
-	}
-	return ctx.Err()
+	return st.Follow(ctx, state.Follower{Under: Prefix, Wait: every, Base: every / 16, Limit: every, Whole: r.replace, News: r.apply})
 }
 
 func (r *Registry) replace(items []wire.Item, at time.Time) {
--- a/internal/intake/check.go
+++ b/internal/intake/check.go
@@ -20,8 +20,6 @@
 // ValidRef tells whether a job id has the form users give it.
 func ValidRef(ref string) bool { return refForm.MatchString(ref) }
 
-var ranks = []string{"production", "urgent", "standard", "idle"}
-
 const maxMembers = 100_000
 
 // submission is a job as it arrives: pointers tell what is missing.
@@ -117,7 +115,7 @@
 	if j.Shape != wire.Batch && j.Shape != wire.Standing && j.Shape != wire.Ensemble {
 		bad("shape", "unknown")
 	}
-	if !slices.Contains(ranks, j.Rank) {
+	if !slices.Contains(wire.Ranks(), j.Rank) {
 		bad("rank", "unknown")
 	}
 	switch {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -123,9 +123,8 @@
 		return
 	}
 	ask := rights.Request{Do: rights.Submit, Owner: job.Owner, Rank: job.Rank}
-	dec := u.door.May(who, ask)
+	dec := u.door.Judge(who, ask, ref, "")
 	if !dec.Allowed {
-		u.door.Refused(who, ask, ref, dec.Rule)
 		u.refuse(ctx, w, who, ref, http.StatusForbidden, errors.New(dec.Rule))
 		return
 	}
@@ -195,9 +194,7 @@
 
 // tell answers with a job's state, if the caller may know it.
 func (u *Users) tell(w http.ResponseWriter, who identity.Caller, p known) {
-	ask := rights.Request{Do: rights.Read, Owner: p.owner}
-	if dec := u.door.May(who, ask); !dec.Allowed {
-		u.door.Refused(who, ask, p.Ref, dec.Rule)
+	if dec := u.door.Judge(who, rights.Request{Do: rights.Read, Owner: p.owner}, p.Ref, ""); !dec.Allowed {
 		reply(w, http.StatusForbidden, wire.Error{Error: dec.Rule})
 		return
 	}
@@ -451,12 +448,10 @@
 
 // may decides on a deed, and notes it where it is not allowed.
 func (u *Users) may(who identity.Caller, do, owner, ref string) (rights.Decision, error) {
-	ask := rights.Request{Do: do, Owner: owner}
-	dec := u.door.May(who, ask)
+	dec := u.door.Judge(who, rights.Request{Do: do, Owner: owner}, ref, "")
 	if dec.Allowed {
 		return dec, nil
 	}
-	u.door.Refused(who, ask, ref, dec.Rule)
 	return dec, fmt.Errorf("%w: %s %s: %s", errDenied, do, ref, dec.Rule)
 }
 
--- a/internal/intake/needs.go
+++ b/internal/intake/needs.go
@@ -68,12 +68,10 @@
 
 // lifts tells why a submission may not name a job that it waits for.
 func (u *Users) lifts(who identity.Caller, job *wire.Job, ref, owner string) error {
-	ask := rights.Request{Do: rights.Need, Owner: owner, Rank: job.Rank}
-	dec := u.door.May(who, ask)
+	dec := u.door.Judge(who, rights.Request{Do: rights.Need, Owner: owner, Rank: job.Rank}, job.Ref, "waits_on "+ref+": ")
 	if dec.Allowed {
 		return nil
 	}
-	u.door.Refused(who, ask, job.Ref, "waits_on "+ref+": "+dec.Rule)
 	return fmt.Errorf("%w: waits_on %s: %s", errDenied, ref, dec.Rule)
 }
 
--- a/internal/rights/rights.go
+++ b/internal/rights/rights.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"rillflow/internal/wire"
 )
 
 // Deeds that rights are given for.
@@ -23,11 +25,9 @@
 // deeds lists them, for the check of rules.
 var deeds = []string{Submit, Withdraw, Read, Need, Status}
 
-// Ranks from the highest. An identity that may have one may have those after it.
-var ranks = []string{"production", "urgent", "standard", "idle"}
-
-// Above tells whether a rank is higher than another.
-func Above(a, b string) bool { return slices.Index(ranks, a) < slices.Index(ranks, b) }
+// Above tells whether a rank is higher than another. An identity that may have one may
+// have those below it.
+func Above(a, b string) bool { return slices.Index(wire.Ranks(), a) < slices.Index(wire.Ranks(), b) }
 
 // Kinds of identities.
 const (
@@ -113,8 +113,8 @@
 			return fmt.Errorf("do: %q is none of %s", d, strings.Join(deeds, ", "))
 		}
 	}
-	if r.Rank != "" && !slices.Contains(ranks, r.Rank) {
-		return fmt.Errorf("rank: %q is none of %s", r.Rank, strings.Join(ranks, ", "))
+	if r.Rank != "" && !slices.Contains(wire.Ranks(), r.Rank) {
+		return fmt.Errorf("rank: %q is none of %s", r.Rank, strings.Join(wire.Ranks(), ", "))
 	}
 	return nil
 }
@@ -201,6 +201,7 @@
 
 // top is the highest rank that somebody may submit jobs of an owner at.
 func (rs *Rules) top(who *Identity, owner string) string {
+	ranks := wire.Ranks()
 	for _, rank := range ranks {
 		denied := slices.ContainsFunc(rs.Deny, func(r Rule) bool {
 			return r.about(who, Submit, owner) && (r.Rank == "" || !Above(r.Rank, rank))
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -306,6 +306,49 @@
 	return l, err
 }
 
+// Follower keeps up with the keys under a prefix.
+type Follower struct {
+	Under       string
+	Wait        time.Duration // that a watch lasts
+	Base, Limit time.Duration // of the pauses after errors
+	// Whole is given all there is, first and whenever the log does not go back far
+	// enough; News what came since. Asked is when the state service was.
+	Whole func(items []wire.Item, asked time.Time)
+	News  func(log []wire.Change, asked time.Time)
+}
+
+// Follow runs a follower until ctx ends.
+func (c *Client) Follow(ctx context.Context, f Follower) error {
+	var gen uint64 // 0: everything is to be read
+	for try := 0; ctx.Err() == nil; {
+		asked := time.Now()
+		var err error
+		if gen == 0 {
+			var items []wire.Item
+			if items, gen, err = c.List(ctx, f.Under); err == nil {
+				gen = max(gen, 1)
+				f.Whole(items, asked)
+			}
+		} else {
+			var log wire.ChangeLog
+			if log, err = c.Watch(ctx, f.Under, gen, f.Wait); err == nil {
+				gen = max(gen, log.Generation)
+				f.News(log.Log, asked)
+			}
+		}
+		if err == nil {
+			try = 0
+			continue
+		}
+		if errors.Is(err, ErrTooOld) {
+			gen = 0
+		}
+		Backoff(ctx, try, f.Base, f.Limit)
+		try++
+	}
+	return ctx.Err()
+}
+
 // Backoff sleeps with full jitter: a random part of base doubled per try, up
 // to limit. It reports false when ctx ends.
 func Backoff(ctx context.Context, try int, base, limit time.Duration) bool {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -52,6 +52,9 @@
 	Ensemble = "ensemble" // a gang: all of its tasks start together
 )
 
+// Ranks are a job's ranks, from the highest.
+func Ranks() []string { return []string{"production", "urgent", "standard", "idle"} }
+
 // Report is a worker's beat, and its answer to /do and /status.
 type Report struct {
 	Host    string   `json:"host"`
