--- a/cmd/rillflow/main.go
+++ b/cmd/rillflow/main.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -140,6 +141,9 @@
 		kong.Exit(func(code int) { os.Exit(min(code, 2)) })) // 2: the command line is wrong
 	if err := k.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "rillflow:", err)
+		if errors.Is(err, settings.ErrSettings) {
+			os.Exit(2) // as for a wrong command line: to start it again is of no use
+		}
 		os.Exit(1)
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -135,16 +135,20 @@
 // OperatorFile is looked for beside the platform's settings file.
 const OperatorFile = "rillflow.xml"
 
+// ErrSettings says that the settings cannot be used. The rest of the error names the file
+// and, where one is at fault, the field.
+var ErrSettings = errors.New("settings")
+
 // Load reads the settings at path and the operators' file beside it. An
 // operator file named by xml must exist; the one beside path need not.
 func Load(path, xml string) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, fmt.Errorf("%w: %w", ErrSettings, err)
 	}
 	s, err := Parse(data)
 	if err != nil {
-		return nil, fmt.Errorf("settings %s: %w", path, err)
+		return nil, fmt.Errorf("%w %s: %w", ErrSettings, path, err)
 	}
 	named := xml != ""
 	if !named {
@@ -152,10 +156,10 @@
 	}
 	own, err := os.ReadFile(xml)
 	if err != nil && (named || !errors.Is(err, fs.ErrNotExist)) {
-		return nil, fmt.Errorf("operator settings: %w", err)
+		return nil, fmt.Errorf("operator %w: %w", ErrSettings, err)
 	}
 	if s.Operator, err = ParseOperator(own); err != nil {
-		return nil, fmt.Errorf("operator settings %s: %w", xml, err)
+		return nil, fmt.Errorf("operator %w %s: %w", ErrSettings, xml, err)
 	}
 	for _, f := range []*string{&s.Operator.Access.Keys, &s.Operator.TLS.Folder, &s.Operator.Rebuild.Folder} {
 		if *f != "" && !filepath.IsAbs(*f) {
@@ -181,7 +185,23 @@
 		}
 		seen[m.Node] = true
 	}
-	return &s, nil
+	return &s, s.placed()
+}
+
+// placed tells of controllers that cannot be as the facts have them.
+func (s *Settings) placed() error {
+	if s.Facts.Size > 1 && len(s.Members) == 0 {
+		return fmt.Errorf("members: none are named, facts.size is %d", s.Facts.Size)
+	}
+	if len(s.Facts.Zones) == 0 {
+		return nil
+	}
+	for _, m := range append([]Member{{Node: s.Node, Zone: s.Zone}}, s.Members...) {
+		if !slices.Contains(s.Facts.Zones, m.Zone) {
+			return fmt.Errorf("location: %q of %s is not in facts.zones", m.Zone, m.Node)
+		}
+	}
+	return nil
 }
 
 func firstError(err error) error {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -54,6 +54,8 @@
 		{"no number", "cpu_share = 0.1", "cpu_share = nan", "CPUShare"},
 		{"a lease for ever", "lease_s = 30.0", "lease_s = 1e300", "LeaseS"},
 		{"too few sockets to serve at all", "sockets = 900", "sockets = 3", "Sockets"},
+		{"a zone that is not listed", "[facts.workers]", "[facts]\nzones = [\"a\"]\n[facts.workers]", "location"},
+		{"no members", "[[members]]\nnode_name = \"n1\"\nendpoint = \"127.0.0.1:3\"\n", "[facts]\nsize = 3\n", "members"},
 		{"a member named as oneself", `node_name = "n1"`, `node_name = "n0"`, "used twice"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/sim/network_test.go
+++ b/internal/sim/network_test.go
@@ -22,11 +22,13 @@
 	cuts  map[[2]string]bool
 	conns map[*conn]bool
 	rnd   *rand.Rand
+	dead  map[string]bool                 // hosts whose process is ending: it reaches nobody any more
+	tap   func(from, to string, b []byte) // sees what is sent, if set
 	ended bool
 }
 
 func newNetwork(rnd *rand.Rand) *network {
-	n := &network{lis: map[string]*listener{}, owner: map[string]string{}, cuts: map[[2]string]bool{}, conns: map[*conn]bool{}, rnd: rnd}
+	n := &network{lis: map[string]*listener{}, owner: map[string]string{}, cuts: map[[2]string]bool{}, conns: map[*conn]bool{}, dead: map[string]bool{}, rnd: rnd}
 	n.cond = sync.NewCond(&n.mu)
 	return n
 }
@@ -50,6 +52,12 @@
 			c.kill()
 		}
 	}
+	n.unlisten(host)
+	n.cond.Broadcast()
+}
+
+// unlisten ends a host's listeners; run it with the lock held.
+func (n *network) unlisten(host string) {
 	for a, l := range n.lis {
 		if n.owner[a] == host {
 			l.closed = true
@@ -57,9 +65,40 @@
 			delete(n.lis, a)
 		}
 	}
+}
+
+// fall is how a process ends in the middle of things: what it had sent still arrives, up
+// to so much later, and only behind that do those it spoke with see that it is gone.
+func (n *network) fall(host string, late time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dead[host] = true
+	n.unlisten(host)
+	for c := range n.conns {
+		if c.from != host {
+			continue
+		}
+		c.closed = true
+		by := time.Duration(0)
+		if late > 0 {
+			by = time.Duration(n.rnd.Int64N(int64(late)))
+		}
+		for i := range c.out {
+			c.out[i].at = c.out[i].at.Add(by)
+		}
+		c.out = append(c.out, packet{at: time.Now().Add(by)})
+		c.cond.Broadcast()
+	}
 	n.cond.Broadcast()
 }
 
+// fallen says that a process has ended; another may take its place.
+func (n *network) fallen(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.dead, host)
+}
+
 func (n *network) end() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -147,7 +186,7 @@
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
 		}
 		host, known := n.owner[to]
-		if known && !n.cuts[[2]string{from, host}] {
+		if known && !n.cuts[[2]string{from, host}] && !n.dead[from] {
 			l := n.lis[to]
 			if l == nil {
 				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: io.EOF}
@@ -234,6 +273,9 @@
 	if c.closed || c.broken {
 		return 0, net.ErrClosed
 	}
+	if c.n.tap != nil {
+		c.n.tap(c.from, c.to, b)
+	}
 	delay := time.Millisecond + time.Duration(c.n.rnd.IntN(2000))*time.Microsecond
 	c.out = append(c.out, packet{time.Now().Add(delay), append([]byte(nil), b...)})
 	c.cond.Broadcast()
--- /dev/null
+++ b/internal/sim/quick_test.go
@@ -0,0 +1,218 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rillflow/internal/wire"
+)
+
+// moment waits until something is seen, or for long enough that it will not be; seen is
+// called for every commit that is carried out and for whatever is sent between hosts.
+type moment struct {
+	commit func(node string, t wire.Commit) bool
+	sent   func(from, to string, b []byte) bool
+}
+
+// until waits for a moment, and tells whether it came. The answer to such a commit is lost.
+func (d *lossDay) until(m moment) bool {
+	seen := make(chan struct{}, 1)
+	note := func() {
+		select {
+		case seen <- struct{}{}:
+		default:
+		}
+	}
+	d.st.mu.Lock()
+	d.st.done = func(node string, t wire.Commit) bool {
+		hit := m.commit != nil && m.commit(node, t)
+		if hit {
+			note()
+		}
+		return hit
+	}
+	d.st.mu.Unlock()
+	d.w.net.mu.Lock()
+	d.w.net.tap = func(from, to string, b []byte) {
+		if m.sent != nil && m.sent(from, to, b) {
+			note()
+		}
+	}
+	d.w.net.mu.Unlock()
+	came := false
+	select {
+	case <-seen:
+		came = true
+	case <-time.After(lease):
+	}
+	d.st.mu.Lock()
+	d.st.done = nil
+	d.st.mu.Unlock()
+	d.w.net.mu.Lock()
+	d.w.net.tap = nil
+	d.w.net.mu.Unlock()
+	return came
+}
+
+// more has a job come now.
+func (d *lossDay) more() {
+	d.w.submit(d.w.ctx, wire.Job{Ref: "req-000900", Class: "c", Owner: "a", Shape: wire.Batch, Rank: "urgent", Members: 6, Cores: 1, RAM: 1, Bundle: "img", Loaners: true, ExpectS: 10}, 0, 0)
+}
+
+// puts tells whether a commit puts a key that begins so.
+func puts(t wire.Commit, prefix string) bool {
+	for _, c := range t.Apply {
+		if strings.HasPrefix(c.Put, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// offerFrame tells whether what is sent is an offer of rooms to a part's owner.
+func offerFrame(from, to string, b []byte) bool {
+	return strings.HasPrefix(from, "host-") && strings.HasPrefix(to, "host-") && len(b) > 1 && b[0] == 1 && b[1] == 3
+}
+
+// Whoever is back within a fraction of a second meets its own past: the grant that it
+// led by, links that its peers take to stand, what it sent in its last moment. No rule
+// breaks, what runs runs on, everything comes to its end, and nobody storms the state
+// service.
+func TestBackAtOnce(t *testing.T) {
+	const back = 50 * time.Millisecond
+	cases := []struct {
+		name string
+		at   func(d *lossDay) bool // false: the moment never came
+	}{
+		{"the leader, within its grant", func(d *lossDay) bool { d.crash(d.leader(), back); return true }},
+		{"the leader, 900 ms", func(d *lossDay) bool { d.crash(d.leader(), 900*time.Millisecond); return true }},
+		{"in an election", func(d *lossDay) bool {
+			// As soon as another takes the lead, it ends too, and the first is back.
+			n := d.leader()
+			d.cs[n].crash()
+			came := d.until(moment{commit: func(_ string, t wire.Commit) bool { return puts(t, "lead") }})
+			d.cs[n] = d.w.boot(n)
+			d.crash(d.leader(), back)
+			return came
+		}},
+		{"in a takeover", func(d *lossDay) bool {
+			d.crash(d.leader(), back)
+			came := d.until(moment{commit: func(_ string, t wire.Commit) bool { return puts(t, "lead") }})
+			time.Sleep(10 * time.Millisecond) // the claims are being read
+			d.crash(d.leader(), back)
+			return came
+		}},
+		{"between offer and confirm", func(d *lossDay) bool {
+			d.more()
+			came := d.until(moment{sent: offerFrame})
+			d.crash(d.leader(), back)
+			return came
+		}},
+		{"the owner, between offer and confirm", func(d *lossDay) bool {
+			d.more()
+			came := d.until(moment{sent: offerFrame})
+			d.crash((d.leader()+1)%nodes, back)
+			return came
+		}},
+		{"between a claim and its launch", func(d *lossDay) bool {
+			d.more()
+			n := d.leader()
+			came := d.until(moment{commit: func(node string, t wire.Commit) bool { return node == fmt.Sprintf("host-%d", n) && puts(t, "c/") }})
+			d.crash(n, back)
+			return came
+		}},
+		{"two of three", func(d *lossDay) bool {
+			n := d.leader()
+			d.cs[n].crash()
+			d.crash((n+1)%nodes, back)
+			d.cs[n] = d.w.boot(n)
+			return true
+		}},
+		{"all three", func(d *lossDay) bool {
+			for _, c := range d.cs {
+				c.crash()
+			}
+			time.Sleep(back)
+			for n := range d.cs {
+				d.cs[n] = d.w.boot(n)
+			}
+			return true
+		}},
+		{"the leader again and again for 20 s", func(d *lossDay) bool {
+			n := d.leader()
+			for range 66 {
+				d.crash(n, back)
+				time.Sleep(250 * time.Millisecond)
+			}
+			return true
+		}},
+		{"whoever leads, again and again for 20 s", func(d *lossDay) bool {
+			for range 20 {
+				d.crash(d.leader(), back)
+				time.Sleep(950 * time.Millisecond)
+			}
+			return true
+		}},
+		{"while the state service is out", func(d *lossDay) bool {
+			d.st.outage(true)
+			time.Sleep(2 * time.Second)
+			d.crash(d.leader(), back)
+			d.crash((d.leader()+1)%nodes, back)
+			time.Sleep(12 * time.Second)
+			d.st.outage(false)
+			return true
+		}},
+		{"an owner, before it is missed", func(d *lossDay) bool { d.crash((d.leader()+1)%nodes, back); return true }},
+		{"in a rebuild", func(d *lossDay) bool {
+			d.lose(restored, 10*time.Second, "")
+			came := d.until(moment{commit: func(_ string, t wire.Commit) bool { return puts(t, "history/") }})
+			time.Sleep(20 * time.Millisecond)
+			d.crash(d.leader(), back)
+			return came
+		}},
+		{"machines, for 900 ms", func(d *lossDay) bool { d.w.blink(d.cl, 900*time.Millisecond); return true }},
+		{"machines and the leader", func(d *lossDay) bool {
+			n := d.leader()
+			d.cs[n].crash()
+			d.w.blink(d.cl, 300*time.Millisecond)
+			d.cs[n] = d.w.boot(n)
+			return true
+		}},
+	}
+	for i, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			for seed := range seeds(1) {
+				synctest.Test(t, func(t *testing.T) {
+					d, before, end := lossDayOf(t, 300+uint64(i)+100*seed, 24, "")
+					at := time.Now()
+					if !tc.at(d) {
+						t.Error("the moment never came")
+					}
+					kept := d.kept(before, 30*time.Second)
+					asked, wrote := d.st.peak(at)
+					time.Sleep(180 * time.Second)
+					end()
+					for _, b := range d.w.breaches {
+						t.Error(b)
+					}
+					for ref, j := range d.w.jobs {
+						if want := map[string]string{wire.Batch: wire.Done, wire.Standing: wire.Withdrawn}[j.Shape]; d.w.told[ref] != want {
+							t.Errorf("%s is %q, want %s", ref, d.w.told[ref], want)
+						}
+					}
+					if kept != len(before) {
+						t.Errorf("%d of %d tasks run on, or are done", kept, len(before))
+					}
+					// Per second, of all controllers: the limits that they were told.
+					if asked > 200 || wrote > 50 {
+						t.Errorf("%d requests and %d changes in a second", asked, wrote)
+					}
+					t.Logf("%d of %d tasks run on or are done; at most %d requests and %d changes a second", kept, len(before), asked, wrote)
+				})
+			}
+		})
+	}
+}
--- a/internal/sim/services_test.go
+++ b/internal/sim/services_test.go
@@ -42,6 +42,22 @@
 	refust map[string]int // transactions refused for their size
 	broke  func(string, ...any)
 	times  []time.Time // of the changes in the log
+	// What was asked and changed, by the second, and what sees each transaction that is
+	// carried out and may have its answer lost.
+	asked, wrote map[int64]int
+	done         func(node string, t wire.Commit) (lost bool)
+}
+
+// peak is the most requests and changes in a second since a time.
+func (s *store) peak(since time.Time) (asked, wrote int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for sec, n := range s.asked {
+		if sec >= since.Unix() {
+			asked, wrote = max(asked, n), max(wrote, s.wrote[sec])
+		}
+	}
+	return asked, wrote
 }
 
 // Ways to lose data. All are told by nothing but what is read after.
@@ -106,7 +122,8 @@
 }
 
 func newStore(rnd *rand.Rand, broke func(string, ...any)) *store {
-	s := &store{rnd: rnd, rev: 1, keys: map[string]wire.Item{}, grants: map[uint64]time.Time{}, lives: map[uint64]time.Duration{}, refuse: map[string]bool{}, value: 16 << 10, ops: 16, refust: map[string]int{}, broke: broke}
+	s := &store{rnd: rnd, rev: 1, keys: map[string]wire.Item{}, grants: map[uint64]time.Time{}, lives: map[uint64]time.Duration{}, refuse: map[string]bool{}, value: 16 << 10, ops: 16, refust: map[string]int{}, broke: broke,
+		asked: map[int64]int{}, wrote: map[int64]int{}}
 	s.cond = sync.NewCond(&s.mu)
 	return s
 }
@@ -159,13 +176,24 @@
 		answer(w, 503, wire.Error{Error: "trouble"})
 		return
 	}
+	s.asked[time.Now().Unix()]++
 	q := r.URL.Query()
 	switch path := r.URL.Path; {
 	case path == "/commit":
 		var t wire.Commit
 		json.Unmarshal(body, &t)
 		status, res := s.commit(t)
-		if s.rnd.IntN(100) == 0 {
+		s.wrote[time.Now().Unix()] += len(t.Apply)
+		if s.rnd.IntN(50) == 0 { // a copy of it comes once more, much later or at once
+			time.AfterFunc(time.Duration(s.rnd.Int64N(int64(2*lease))), func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if s.expire(); !s.down {
+					s.commit(t)
+				}
+			})
+		}
+		if status == 200 && s.done != nil && s.done(node, t) || s.rnd.IntN(100) == 0 {
 			panic(http.ErrAbortHandler) // executed, but the answer is lost
 		}
 		answer(w, status, res)
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"log"
 	"log/slog"
+	"maps"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -259,17 +261,46 @@
 	return c
 }
 
+// crash ends the process without a goodbye. What it sent in its last moment may arrive
+// up to a report interval later, also when another has taken its place.
 func (c *node) crash() {
 	name := fmt.Sprintf("host-%d", c.n)
-	c.w.net.reset(name)
-	for _, o := range []string{"state", "cloud"} {
-		c.w.net.cut(name, o, true) // a killed process says no goodbye
-	}
+	c.w.net.fall(name, time.Duration(c.w.intN(2))*report)
 	c.kill()
 	<-c.over
-	c.w.net.reset(name)
-	for _, o := range []string{"state", "cloud"} {
-		c.w.net.cut(name, o, false)
+	c.w.net.fallen(name)
+}
+
+// away is how long a process is gone: from a moment to much longer than a grant lasts,
+// in each order of size alike.
+func (w *world) away() time.Duration {
+	return time.Duration(20*math.Pow(500, float64(w.intN(1000))/1000)) * time.Millisecond
+}
+
+// ended tells whether the process has ended.
+func (c *node) ended() bool {
+	select {
+	case <-c.over:
+		return true
+	default:
+		return false
+	}
+}
+
+// blink cuts every machine off from all controllers for a moment.
+func (w *world) blink(cl *cloud, long time.Duration) {
+	cl.mu.Lock()
+	hosts := slices.Sorted(maps.Keys(cl.hosts))
+	cl.mu.Unlock()
+	for _, on := range []bool{true, false} {
+		for _, h := range hosts {
+			for n := range nodes {
+				w.net.cut(fmt.Sprintf("host-%d", n), h, on)
+			}
+		}
+		if on {
+			time.Sleep(long)
+		}
 	}
 }
 
@@ -478,12 +509,23 @@
 // controllers first come back one by one knowing of lower limits, which then
 // come into force while jobs laid out before are on hand.
 func play(t testing.TB, seed uint64, piped bool, operator string, tamper func(*world)) (breaches []string, w *world) {
-	return playWith(t, seed, piped, 8, operator, tamper)
+	return playWith(t, seed, piped, []int{0, 1, 2, 3, 4, 5, 6, 7, fallMany, fallOften, blinks}, operator, tamper)
 }
 
-// playWith plays a day with so many kinds of faults: the last three of eleven are losses
-// of data in the state service.
-func playWith(t testing.TB, seed uint64, piped bool, kinds int, operator string, tamper func(*world)) (breaches []string, w *world) {
+// Kinds of faults beside those that playWith draws by number: losses of data in the state
+// service, controllers that end together or again and again, and machines that are gone
+// for a moment.
+const (
+	loseAll = iota + 8
+	loseLast
+	loseSome
+	fallMany
+	fallOften
+	blinks
+)
+
+// playWith plays a day with faults of the kinds given.
+func playWith(t testing.TB, seed uint64, piped bool, kinds []int, operator string, tamper func(*world)) (breaches []string, w *world) {
 	rnd := rand.New(rand.NewPCG(seed, 7))
 	ctx, w, st, cl, cs, stop := begin(t, seed, 24, 3, operator)
 	for i := range 14 {
@@ -509,11 +551,11 @@
 			w.mu.Lock()
 			w.upgraded[n] = true
 			w.mu.Unlock()
-			time.Sleep(8 * time.Second)
+			time.Sleep(w.away())
 			cs[n] = w.boot(n)
 			if other := (n + 1) % nodes; rnd.IntN(2) == 0 { // before or after its turn
 				cs[other].crash()
-				time.Sleep(4 * time.Second)
+				time.Sleep(w.away())
 				cs[other] = w.boot(other)
 			}
 			time.Sleep(time.Duration(rnd.IntN(8)) * time.Second)
@@ -528,17 +570,38 @@
 	for range 8 {
 		n := rnd.IntN(nodes)
 		name := fmt.Sprintf("host-%d", n)
-		switch rnd.IntN(kinds) {
-		case 8:
+		switch kinds[rnd.IntN(len(kinds))] {
+		case loseAll:
 			st.lose(wiped, 0, "")
-		case 9:
+		case loseLast:
 			st.lose(restored, time.Duration(rnd.IntN(30_000))*time.Millisecond, "")
-		case 10:
+		case loseSome:
 			st.lose(holes, 0, "")
 		case 0, 1:
 			cs[n].crash()
-			time.Sleep(8 * time.Second)
+			time.Sleep(w.away())
 			cs[n] = w.boot(n)
+		case fallMany:
+			for m := range nodes {
+				if m != n || rnd.IntN(2) == 0 {
+					cs[m].crash()
+				}
+			}
+			for m := range nodes {
+				if cs[m].ended() {
+					time.Sleep(w.away() / 2)
+					cs[m] = w.boot(m)
+				}
+			}
+		case fallOften:
+			for range 20 {
+				cs[n].crash()
+				time.Sleep(20 * time.Millisecond)
+				cs[n] = w.boot(n)
+				time.Sleep(time.Duration(50+rnd.IntN(900)) * time.Millisecond)
+			}
+		case blinks:
+			w.blink(cl, time.Duration(50+rnd.IntN(1500))*time.Millisecond)
 		case 2:
 			st.outage(true)
 			time.Sleep(time.Duration(5+rnd.IntN(30)) * time.Second)
@@ -592,7 +655,7 @@
 		time.Sleep(time.Duration(rnd.IntN(6)) * time.Second)
 	}
 	time.Sleep(150 * time.Second)
-	if kinds > 8 {
+	if slices.Contains(kinds, loseAll) {
 		time.Sleep(120 * time.Second) // losses take no time, so the day was shorter
 	}
 	stop()
