A zone that has no more machines to give keeps none elsewhere

Cause: spread replicas wanted room in a zone whose machines were all rented. Change: a machine is kept for room in the second zone, or for the loss of a zone, only if its going makes that worse; machines that drain are taken back only in zones that help.

--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -241,7 +241,7 @@
 		if !h.Draining {
 			continue
 		}
-		if plan.Keep || plan.Freed && !r.replicas(h) {
+		if plan.Keep || slices.Contains(plan.Wide, h.Zone) || plan.Freed && !r.replicas(h) {
 			h.Draining = false
 			kick(r.plans)
 			continue
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -150,6 +150,7 @@
 	Leave []string // machines to return
 	Drain []string // machines that take no new tasks from now on
 	Keep  bool     // machines draining are needed after all
+	Wide  []string // zones in which they are, though not elsewhere
 	Freed bool     // machines draining are needed again once their replicas are gone
 }
 
@@ -324,14 +325,10 @@
 		plan.Rents = p.fill(plan.Rents, os, types, lack, false)
 		plan.Keep = true
 	} else if top, second := free.best(); second < need.Spread {
-		os := slices.DeleteFunc(p.offers(types, false, need, now), func(o offer) bool { return o.zone == top })
-		plan.Rents = p.fill(plan.Rents, os, types, need.Spread-second, false)
-		plan.Keep = len(os) > 0
+		plan.elsewhere(p, types, need, now, perZone, top, need.Spread-second)
 	}
 	if zone, lack := p.exposed(taken, free); lack > 0 {
-		os := slices.DeleteFunc(p.offers(types, false, need, now), func(o offer) bool { return o.zone == zone })
-		plan.Rents = p.fill(plan.Rents, os, types, lack, false)
-		plan.Keep = plan.Keep || len(os) > 0
+		plan.elsewhere(p, types, need, now, perZone, zone, lack)
 	}
 	if lack := passing - room; lack > 0 {
 		os := p.offers(types, true, need, now)
@@ -367,7 +364,7 @@
 	for _, m := range over {
 		t := types[m.Flavor]
 		idle := p.idle(m, t, now)
-		if firm+spot-t.Cores < steady+ebb || !m.Loaners && (firm-t.Cores < steady || free.without(m.Zone, t.Cores) < need.Spread) ||
+		if firm+spot-t.Cores < steady+ebb || !m.Loaners && (firm-t.Cores < steady || free.pinches(m.Zone, t.Cores, need.Spread)) ||
 			!m.Loaners && p.bares(taken, free, m, t.Cores) ||
 			!idle && (draining >= few || now.Sub(m.Asked) < 3*settings.Seconds(t.ReadyS) || m.Replicas > 0 && !m.Movable()) {
 			continue
@@ -388,6 +385,18 @@
 	return plan
 }
 
+// elsewhere rents firm machines outside a zone, where what drains is needed too. Those of
+// the zone itself are no help.
+func (plan *Plan) elsewhere(p *Planner, types map[string]*wire.MachineType, need Need, now time.Time, firm map[string]float64, zone string, lack float64) {
+	os := slices.DeleteFunc(p.offers(types, false, need, now), func(o offer) bool { return o.zone == zone })
+	plan.Rents = p.fill(plan.Rents, os, types, lack, false)
+	for z := range firm {
+		if z != zone && !slices.Contains(plan.Wide, z) {
+			plan.Wide = append(plan.Wide, z)
+		}
+	}
+}
+
 // exposed is the zone whose loss would leave the most replicas without room, and
 // how much they would lack. A zone with a controller goes on behind a cut: what
 // lacks room then is new, and a part of the room will do. What passes on firm
@@ -412,13 +421,16 @@
 // held is the part of a zone's headroom that is kept where a controller holds it.
 const held = 0.3
 
-// bares tells whether the loss of a zone would leave replicas without room once a
-// machine is gone, its own replicas moved to others.
+// bares tells whether the loss of a zone would leave replicas without room, or more of
+// them, once a machine is gone, its own replicas moved to others. Where they lack room in
+// any case, since a zone has no more machines to give, machines that are of no help there
+// are not kept for it.
 func (p *Planner) bares(taken, free zones, m Machine, cores float64) bool {
+	_, before := p.exposed(taken, free)
 	free[m.Zone] -= cores
 	_, lack := p.exposed(taken, free)
 	free[m.Zone] += cores
-	return lack > 0
+	return lack > before
 }
 
 // zones are amounts by zone.
@@ -436,12 +448,14 @@
 	return names[0], z[names[1]]
 }
 
-// without is how much the next-best zone has once one has so much less.
-func (z zones) without(zone string, less float64) float64 {
+// pinches tells whether the next-best zone has too little once one has so much less,
+// and less than it has now.
+func (z zones) pinches(zone string, less, need float64) bool {
+	_, before := z.best()
 	z[zone] -= less
 	_, second := z.best()
 	z[zone] += less
-	return second
+	return second < min(need, before)
 }
 
 // overdue tells whether a machine takes so long to boot that it may never come
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -55,6 +55,11 @@
 		{"the second zone's room stays", []Machine{
 			{Name: "x", Flavor: "l", Zone: "a", Up: true, Idle: old, Asked: old}, {Name: "y", Flavor: "s", Zone: "b", Up: true, Idle: old, Asked: old},
 		}, Need{Steady: 2, Spread: 2, Tasks: []Shape{service}}, "", 0, nil},
+		// A zone that has no more to give kept all idle machines of the others.
+		{"what the second zone lacks keeps nothing elsewhere", []Machine{
+			{Name: "x", Flavor: "l", Zone: "a", Up: true, Idle: old, Asked: old}, {Flavor: "l", Zone: "a", Up: true, Taken: 2, Replicas: 1, Asked: old, Movable: func() bool { return false }},
+			{Flavor: "s", Zone: "b", Up: true, Taken: 4, Replicas: 2, Asked: old, Movable: func() bool { return false }},
+		}, Need{Steady: 6, Spread: 2, Tasks: []Shape{service}}, "s b firm", 1, []string{"x"}},
 		{"idle machines go", []Machine{{Name: "x", Flavor: "s", Loaners: true, Up: true, Idle: old, Asked: old}}, Need{}, "", 0, []string{"x"}},
 		{"not in the first moments", []Machine{{Name: "x", Flavor: "s", Loaners: true, Up: true, Idle: now.Add(-time.Second), Asked: now.Add(-time.Second)}}, Need{}, "", 0, nil},
 		{"the dearest core goes first", []Machine{
