--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -528,6 +528,7 @@
 func playWith(t testing.TB, seed uint64, piped bool, kinds []int, operator string, tamper func(*world)) (breaches []string, w *world) {
 	rnd := rand.New(rand.NewPCG(seed, 7))
 	ctx, w, st, cl, cs, stop := begin(t, seed, 24, 3, operator)
+	began := time.Now()
 	for i := range 14 {
 		j := wire.Job{Ref: fmt.Sprintf("req-%06d", i), Class: "c", Owner: []string{"a", "b"}[i%2], Shape: wire.Batch, Rank: "standard",
 			Members: 1 + rnd.IntN(8), Cores: float64(1 + rnd.IntN(3)), RAM: 2, Bundle: "img", Loaners: i%3 == 0, ExpectS: float64(3 + rnd.IntN(20))}
@@ -654,7 +655,8 @@
 		}
 		time.Sleep(time.Duration(rnd.IntN(6)) * time.Second)
 	}
-	time.Sleep(150 * time.Second)
+	// Faults that take no time make a short day; the last user withdraws after 260 s.
+	time.Sleep(max(150*time.Second, 300*time.Second-time.Since(began)))
 	if slices.Contains(kinds, loseAll) {
 		time.Sleep(120 * time.Second) // losses take no time, so the day was shorter
 	}
