--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -341,8 +341,9 @@
 
 // ordered is a job with what it is ordered by.
 type ordered struct {
-	j *ledger.Job
-	u urgency
+	j    *ledger.Job
+	tier int // teams of one type may stand differently to their guarantees
+	u    urgency
 }
 
 // ration lets only as many jobs go first for being about to lose a time as there will
@@ -383,11 +384,11 @@
 func (r *reign) order(jobs []*ledger.Job, now time.Time) {
 	es := make([]ordered, len(jobs))
 	for i, j := range jobs {
-		es[i] = ordered{j, r.urgency(j, now)}
+		es[i] = ordered{j, r.tier(j), r.urgency(j, now)}
 	}
 	r.ration(es)
 	slices.SortFunc(es, func(a, b ordered) int {
-		return cmp.Or(a.u.compare(b.u), a.j.ReadyAt.Compare(b.j.ReadyAt), cmp.Compare(a.j.Ref, b.j.Ref))
+		return cmp.Or(cmp.Compare(a.tier, b.tier), a.u.compare(b.u), a.j.ReadyAt.Compare(b.j.ReadyAt), cmp.Compare(a.j.Ref, b.j.Ref))
 	})
 	for i, e := range es {
 		jobs[i] = e.j
