Replicas that can still start in time go before those that cannot

Cause: on the Osa deployment spread replicas need 330 to 436 places in the small zone, which has 320. Those that waited longest took every place that came free, so all new ones waited for 150 s too: 230 of 1,164 late, all in that zone. Change: a replica past the time its users named for its class goes behind those within it, as an array past its deadline does.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -31,7 +31,8 @@
 	set := &settings.Settings{Node: "n", Operator: op, Facts: settings.Facts{
 		Workers:    settings.Workers{ReportS: 3, LeaseS: 30},
 		Teams:      []settings.Team{{Name: "t", CPUs: 100, CPUsMax: 100}, {Name: "u", CPUs: 4, CPUsMax: 100}},
-		Objectives: []settings.Objective{{Kind: "finished", Class: "f", WithinS: 60}, {Kind: "finished", Class: "f", WithinS: 120}, {Kind: "deadline", Class: "d", Times: 1.5}},
+		Objectives: []settings.Objective{{Kind: "finished", Class: "f", WithinS: 60}, {Kind: "finished", Class: "f", WithinS: 120}, {Kind: "deadline", Class: "d", Times: 1.5},
+			{Kind: "wait", Class: "s", WithinS: 12}},
 	}}
 	cat := fleet.NewCatalogue(nil, time.Minute, nil)
 	cat.Set([]wire.MachineType{{Label: "m", Cores: 8, RAM: 64, PullRate: 1, LocalGB: 20}})
@@ -203,6 +204,41 @@
 	}
 }
 
+// Among replicas that wait for room of which there is too little, those that can still
+// start in time go first, whatever their teams; but what is within its team's guarantee
+// goes before all that is not.
+func TestOrderOfReplicas(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		first, second time.Duration // since when each is ready
+		other         bool          // the second is of a team that is past its guarantee
+		want          bool          // the first goes first
+	}{
+		{"both in time: who came first", 10 * time.Second, 5 * time.Second, false, true},
+		{"the first late", 13 * time.Second, 5 * time.Second, false, false},
+		{"both late: who came first", 60 * time.Second, 13 * time.Second, false, true},
+		{"late, but the other is past its guarantee", 13 * time.Second, 5 * time.Second, true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := term(t)
+			job := wire.Job{Class: "s", Shape: wire.Standing, Rank: "production", Members: 2, Cores: 2}
+			a := r.add("req-1", job)
+			if tc.other {
+				job.Owner = "u"
+				r.run(t, r.add("req-3", job), "h0", time.Minute)
+				r.run(t, r.led.Job("req-3"), "h1", time.Minute)
+			}
+			b := r.add("req-2", job)
+			a.ReadyAt, b.ReadyAt = now.Add(-tc.first), now.Add(-tc.second)
+			jobs := []*ledger.Job{b, a}
+			r.order(jobs, now)
+			if got := jobs[0] == a; got != tc.want {
+				t.Errorf("the first goes first: %v", got)
+			}
+		})
+	}
+}
+
 // Work with time for several rounds needs fewer machines at once.
 func TestPace(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -427,12 +427,18 @@
 	for k, o := range r.set.Facts.Objectives {
 		by := r.wanted(k, j)
 		start := by.Add(-time.Duration(longest * float64(run))) // at the latest
-		if o.Kind == "wait" && o.Class == j.Spec.Class && j.Spec.Shape != wire.Standing {
+		if o.Kind == "wait" && o.Class == j.Spec.Class {
 			by = j.ReadyAt.Add(settings.Seconds(o.WithinS)).Add(run)
 			start = by.Add(-run)
 		}
 		switch {
 		case by.IsZero():
+		case j.Spec.Shape == wire.Standing:
+			// Replicas that have waited for longer start late whenever they do. Where
+			// room of a kind is short for good they would keep all others waiting too.
+			if now.After(by) {
+				u.stage++
+			}
 		case now.Add(run).After(by):
 			u.stage++
 		case now.Add(margin).After(start):
