--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -29,8 +29,8 @@
 		t.Fatal(err)
 	}
 	set := &settings.Settings{Node: "n", Operator: op, Facts: settings.Facts{
-		Workers:    settings.Workers{ReportS: 3, LeaseS: 30},
-		Teams:      []settings.Team{{Name: "t", CPUs: 100, CPUsMax: 100}, {Name: "u", CPUs: 4, CPUsMax: 100}},
+		Workers: settings.Workers{ReportS: 3, LeaseS: 30},
+		Teams:   []settings.Team{{Name: "t", CPUs: 100, CPUsMax: 100}, {Name: "u", CPUs: 4, CPUsMax: 100}},
 		Objectives: []settings.Objective{{Kind: "finished", Class: "f", WithinS: 60}, {Kind: "finished", Class: "f", WithinS: 120}, {Kind: "deadline", Class: "d", Times: 1.5},
 			{Kind: "wait", Class: "s", WithinS: 12}},
 	}}
