What only one zone may take is rented for there, and nowhere else

Change: the need tells what waits for one zone alone; it is rented for there, and what has no room there does not count as need elsewhere.

--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -542,6 +542,7 @@
 		}
 	}
 	passing, paced := make(map[string]float64), make(map[string]float64)
+	zones := r.types.Zones()
 	for _, j := range r.led.Jobs() {
 		if j.Withdrawn || j.Finished || !j.Ready() {
 			continue
@@ -560,6 +561,7 @@
 			if s.Scatter {
 				n.Spread = max(n.Spread, s.Cores*float64(s.Members/2))
 			}
+			r.only(&n, j, zones)
 			n.Largest = max(n.Largest, cores)
 		}
 		key := fmt.Sprint(s.Cores, s.Accel, s.RAM, s.Flavors, s.Locale, s.Loaners)
@@ -585,6 +587,26 @@
 	return n
 }
 
+// only adds what a job's waiting tasks want of each zone because no other may take them.
+func (r *reign) only(n *fleet.Need, j *ledger.Job, zones []string) {
+	wait := j.WaitingTasks()
+	if wait == 0 {
+		return
+	}
+	all := 0
+	for _, z := range zones {
+		all += max(0, r.led.ZoneRoom(j, z))
+	}
+	for _, z := range zones {
+		if left := wait - (all - max(0, r.led.ZoneRoom(j, z))); left > 0 {
+			if n.Only == nil {
+				n.Only = make(map[string]float64)
+			}
+			n.Only[z] += j.Spec.Cores * float64(left)
+		}
+	}
+}
+
 // pace is the share of a job's unfinished tasks that must run at once for it to
 // be in time: all of them, or fewer where its time allows for more than one
 // round. Half of the time left is counted on: run times are estimates, and the
--- a/internal/fleet/catalogue.go
+++ b/internal/fleet/catalogue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,16 @@
 	return nil
 }
 
+// Zones are all in which some type can be rented, by name.
+func (c *Catalogue) Zones() []string {
+	var out []string
+	for _, t := range c.Types() {
+		out = append(out, t.Locales...)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // Set takes in the machine types.
 func (c *Catalogue) Set(ts []wire.MachineType) {
 	m := make(map[string]*wire.MachineType, len(ts))
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -36,12 +36,13 @@
 
 // Need is the work on hand, in cores.
 type Need struct {
-	Steady     float64 // work that may not run on spot machines
-	Passing    float64 // work that may
-	Queue      float64 // the part of it that waits now
-	Paced      float64 // the part of it that must run at once to be in time
-	Largest    float64 // the largest service on hand: the next one may be like it
-	Spread     float64 // what the largest one that is spread may not have in one zone
+	Steady     float64            // work that may not run on spot machines
+	Passing    float64            // work that may
+	Queue      float64            // the part of it that waits now
+	Paced      float64            // the part of it that must run at once to be in time
+	Largest    float64            // the largest service on hand: the next one may be like it
+	Spread     float64            // what the largest one that is spread may not have in one zone
+	Only       map[string]float64 // waiting work that no other zone may take
 	SteadyJobs int
 	Ahead      float64 // limits of the teams whose work is rented ahead for
 	Tasks      []Shape // shapes of tasks on hand
@@ -313,6 +314,7 @@
 		}
 	}
 
+	steady -= p.confined(&plan, types, need, free, now)
 	room := spot + max(0, firm-steady) // for passing work
 	if (firm < steady || room < passing) && ebbing > 0 {
 		plan.Keep = true // what drains is at hand at once
@@ -385,6 +387,23 @@
 	return plan
 }
 
+// confined rents where work waits that no other zone may take. It returns how much of it
+// there is no room for as yet: machines elsewhere are of no use to it, and are not to be
+// kept or rented for it.
+func (p *Planner) confined(plan *Plan, types map[string]*wire.MachineType, need Need, free zones, now time.Time) (lacks float64) {
+	for _, z := range slices.Sorted(maps.Keys(need.Only)) {
+		lack := need.Only[z] - free[z]
+		if lack <= 0 {
+			continue
+		}
+		lacks += lack
+		os := slices.DeleteFunc(p.offers(types, false, need, now), func(o offer) bool { return o.zone != z })
+		plan.Rents = p.fill(plan.Rents, os, types, lack, false)
+		plan.Wide = append(plan.Wide, z)
+	}
+	return lacks
+}
+
 // elsewhere rents firm machines outside a zone, where what drains is needed too. Those of
 // the zone itself are no help.
 func (plan *Plan) elsewhere(p *Planner, types map[string]*wire.MachineType, need Need, now time.Time, firm map[string]float64, zone string, lack float64) {
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -60,6 +60,12 @@
 			{Name: "x", Flavor: "l", Zone: "a", Up: true, Idle: old, Asked: old}, {Flavor: "l", Zone: "a", Up: true, Taken: 2, Replicas: 1, Asked: old, Movable: func() bool { return false }},
 			{Flavor: "s", Zone: "b", Up: true, Taken: 4, Replicas: 2, Asked: old, Movable: func() bool { return false }},
 		}, Need{Steady: 6, Spread: 2, Tasks: []Shape{service}}, "s b firm", 1, []string{"x"}},
+		{"what only one zone may take is rented there", []Machine{{Flavor: "l", Zone: "a"}}, Need{Steady: 8, Only: map[string]float64{"b": 4}, Tasks: []Shape{service}}, "s b firm", 1, nil},
+		{"and not elsewhere", []Machine{{Flavor: "s", Zone: "b", Taken: 4}}, Need{Steady: 8, Only: map[string]float64{"b": 4}, Tasks: []Shape{service}}, "s b firm", 1, nil},
+		{"nor is anything kept elsewhere for it", []Machine{
+			{Name: "x", Flavor: "l", Zone: "a", Up: true, Idle: old, Asked: old}, {Flavor: "s", Zone: "b", Up: true, Taken: 4, Replicas: 2, Asked: old, Movable: func() bool { return false }},
+			{Flavor: "l", Zone: "a", Up: true, Taken: 2, Replicas: 1, Asked: old, Movable: func() bool { return false }},
+		}, Need{Steady: 22, Only: map[string]float64{"b": 16}, Tasks: []Shape{service}}, "s b firm", 4, []string{"x"}},
 		{"idle machines go", []Machine{{Name: "x", Flavor: "s", Loaners: true, Up: true, Idle: old, Asked: old}}, Need{}, "", 0, []string{"x"}},
 		{"not in the first moments", []Machine{{Name: "x", Flavor: "s", Loaners: true, Up: true, Idle: now.Add(-time.Second), Asked: now.Add(-time.Second)}}, Need{}, "", 0, nil},
 		{"the dearest core goes first", []Machine{
