--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -314,10 +314,8 @@
 		}
 	}
 
-	stuck := p.confined(&plan, types, need, free, now)
-	steady -= stuck
-	// Passing work has what is spare for replicas too, and gives way to those that come.
-	room := spot + max(0, firm-need.Steady+stuck)
+	steady -= p.confined(&plan, types, need, free, now)
+	room := spot + max(0, firm-steady) // for passing work
 	if (firm < steady || room < passing) && ebbing > 0 {
 		plan.Keep = true // what drains is at hand at once
 		return plan
