Headroom is kept only for what another zone may take

Cause: room was kept for all replicas of any zone that might be lost. Spread over two zones each job has in both all that it may have, so nothing of a lost zone could start in the other; machines of the small zone stayed half empty for it (1.9 of 21.1 spent). Change: what of a zone other zones would be allowed to take, less what waits for them, is worked out job by job.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -239,6 +239,42 @@
 	}
 }
 
+// What of a job waits for one zone alone, and what the other zones would take were one
+// lost; both in cores, in two zones and in three.
+func TestBounds(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		job           wire.Job
+		on            []string // hosts that have a replica: h0 and h2 in zone a, h1 and h3 in b
+		zones         []string
+		only, exposed map[string]float64
+	}{
+		{"nothing placed: either may take half", wire.Job{Members: 4, Scatter: true}, nil, []string{"a", "b"}, map[string]float64{"a": 4, "b": 4}, nil},
+		{"one zone has all it may", wire.Job{Members: 4, Scatter: true}, []string{"h0", "h2"}, []string{"a", "b"}, map[string]float64{"b": 4}, nil},
+		{"all placed, both full", wire.Job{Members: 4, Scatter: true}, []string{"h0", "h2", "h1", "h3"}, []string{"a", "b"}, nil, nil},
+		{"of an odd number one may move", wire.Job{Members: 3, Scatter: true}, []string{"h0", "h2", "h1"}, []string{"a", "b"}, nil, map[string]float64{"a": 2}},
+		{"a third zone takes what one loses", wire.Job{Members: 4, Scatter: true}, []string{"h0", "h2", "h1", "h3"}, []string{"a", "b", "c"}, nil, map[string]float64{"a": 4, "b": 4}},
+		{"not spread: anywhere", wire.Job{Members: 2}, []string{"h0", "h1"}, []string{"a", "b"}, nil, map[string]float64{"a": 2, "b": 2}},
+		{"its only zone", wire.Job{Members: 2, Locale: "a"}, []string{"h0"}, []string{"a", "b"}, map[string]float64{"a": 2}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := term(t)
+			tc.job.Class, tc.job.Shape, tc.job.Cores = "s", wire.Standing, 2
+			j := r.add("req-1", tc.job)
+			for _, h := range tc.on {
+				r.run(t, j, h, time.Minute)
+			}
+			n := fleet.Need{Only: map[string]float64{}, Exposed: map[string]float64{}}
+			r.bounds(&n, j, tc.zones)
+			for _, z := range tc.zones {
+				if n.Only[z] != tc.only[z] || n.Exposed[z] != tc.exposed[z] {
+					t.Errorf("zone %s: %v wait for it alone, %v of it would move; want %v and %v", z, n.Only[z], n.Exposed[z], tc.only[z], tc.exposed[z])
+				}
+			}
+		})
+	}
+}
+
 // Work with time for several rounds needs fewer machines at once.
 func TestPace(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -521,7 +521,7 @@
 
 // need sums up the work on hand, with what runs on machines behind a cut left out.
 func (r *reign) need(ms []fleet.Machine, now time.Time) fleet.Need {
-	var n fleet.Need
+	n := fleet.Need{Only: make(map[string]float64), Exposed: make(map[string]float64)}
 	seen, waits := make(map[string]int), make(map[int]bool)
 	cut := make(map[*ledger.Job]int)
 	for _, m := range ms {
@@ -561,7 +561,7 @@
 			if s.Scatter {
 				n.Spread = max(n.Spread, s.Cores*float64(s.Members/2))
 			}
-			r.only(&n, j, zones)
+			r.bounds(&n, j, zones)
 			n.Largest = max(n.Largest, cores)
 		}
 		key := fmt.Sprint(s.Cores, s.Accel, s.RAM, s.Flavors, s.Locale, s.Loaners)
@@ -587,23 +587,18 @@
 	return n
 }
 
-// only adds what a job's waiting tasks want of each zone because no other may take them.
-func (r *reign) only(n *fleet.Need, j *ledger.Job, zones []string) {
-	wait := j.WaitingTasks()
-	if wait == 0 {
-		return
-	}
+// bounds adds what a job's waiting tasks want of each zone because no other may take
+// them, and what it has in each that others would take were the zone lost.
+func (r *reign) bounds(n *fleet.Need, j *ledger.Job, zones []string) {
 	all := 0
 	for _, z := range zones {
 		all += max(0, r.led.ZoneRoom(j, z))
 	}
 	for _, z := range zones {
-		if left := wait - (all - max(0, r.led.ZoneRoom(j, z))); left > 0 {
-			if n.Only == nil {
-				n.Only = make(map[string]float64)
-			}
-			n.Only[z] += j.Spec.Cores * float64(left)
-		}
+		// What the others may take, less what waits.
+		others := all - max(0, r.led.ZoneRoom(j, z)) - j.WaitingTasks()
+		n.Only[z] += j.Spec.Cores * float64(max(0, -others))
+		n.Exposed[z] += j.Spec.Cores * float64(min(j.InZone(z), max(0, others)))
 	}
 }
 
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -43,6 +43,7 @@
 	Largest    float64            // the largest service on hand: the next one may be like it
 	Spread     float64            // what the largest one that is spread may not have in one zone
 	Only       map[string]float64 // waiting work that no other zone may take
+	Exposed    map[string]float64 // what replicas take of a zone and others would take
 	SteadyJobs int
 	Ahead      float64 // limits of the teams whose work is rented ahead for
 	Tasks      []Shape // shapes of tasks on hand
@@ -288,8 +289,7 @@
 
 	var firm, spot, ebbing float64
 	perZone := make(map[string]float64)
-	free := make(zones)  // firm room that replicas could have
-	taken := make(zones) // what they have
+	free := make(zones) // firm room that replicas could have
 	draining := 0
 	for _, m := range ms {
 		t := types[m.Flavor]
@@ -310,7 +310,6 @@
 			firm += t.Cores
 			perZone[m.Zone] += t.Cores
 			free[m.Zone] += t.Cores - m.Taken
-			taken[m.Zone] += m.Taken
 		}
 	}
 
@@ -329,7 +328,7 @@
 	} else if top, second := free.best(); second < need.Spread {
 		plan.elsewhere(p, types, need, now, perZone, top, need.Spread-second)
 	}
-	if zone, lack := p.exposed(taken, free); lack > 0 {
+	if zone, lack := p.exposed(need.Exposed, free); lack > 0 {
 		plan.elsewhere(p, types, need, now, perZone, zone, lack)
 	}
 	if lack := passing - room; lack > 0 {
@@ -367,7 +366,7 @@
 		t := types[m.Flavor]
 		idle := p.idle(m, t, now)
 		if firm+spot-t.Cores < steady+ebb || !m.Loaners && (firm-t.Cores < steady || free.pinches(m.Zone, t.Cores, need.Spread)) ||
-			!m.Loaners && p.bares(taken, free, m, t.Cores) ||
+			!m.Loaners && p.bares(need.Exposed, free, m, t.Cores) ||
 			!idle && (draining >= few || now.Sub(m.Asked) < 3*settings.Seconds(t.ReadyS) || m.Replicas > 0 && !m.Movable()) {
 			continue
 		}
@@ -417,7 +416,8 @@
 }
 
 // exposed is the zone whose loss would leave the most replicas without room, and
-// how much they would lack. A zone with a controller goes on behind a cut: what
+// how much they would lack. What may not be elsewhere, since its job has all that is
+// allowed there, needs none. A zone with a controller goes on behind a cut: what
 // lacks room then is new, and a part of the room will do. What passes on firm
 // machines gives its room to replicas, so that the room kept is not idle.
 func (p *Planner) exposed(taken, free zones) (zone string, lack float64) {
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -66,6 +66,8 @@
 			{Name: "x", Flavor: "l", Zone: "a", Up: true, Idle: old, Asked: old}, {Flavor: "s", Zone: "b", Up: true, Taken: 4, Replicas: 2, Asked: old, Movable: func() bool { return false }},
 			{Flavor: "l", Zone: "a", Up: true, Taken: 2, Replicas: 1, Asked: old, Movable: func() bool { return false }},
 		}, Need{Steady: 22, Only: map[string]float64{"b": 16}, Tasks: []Shape{service}}, "s b firm", 4, []string{"x"}},
+		{"room elsewhere for what a lost zone leaves", []Machine{{Flavor: "l", Zone: "a", Taken: 4}}, Need{Steady: 4, Exposed: map[string]float64{"a": 4}, Tasks: []Shape{service}}, "s b firm", 1, nil},
+		{"none for what may not be elsewhere", []Machine{{Flavor: "l", Zone: "a", Taken: 4}}, Need{Steady: 4, Tasks: []Shape{service}}, "", 0, nil},
 		{"idle machines go", []Machine{{Name: "x", Flavor: "s", Loaners: true, Up: true, Idle: old, Asked: old}}, Need{}, "", 0, []string{"x"}},
 		{"not in the first moments", []Machine{{Name: "x", Flavor: "s", Loaners: true, Up: true, Idle: now.Add(-time.Second), Asked: now.Add(-time.Second)}}, Need{}, "", 0, nil},
 		{"the dearest core goes first", []Machine{
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -428,6 +428,9 @@
 	return n
 }
 
+// InZone is how many of the job's claims are in a zone.
+func (j *Job) InZone(zone string) int { return j.zones[zone] }
+
 // MayAll tells whether all waiting tasks of a gang are within its team's limit,
 // and none of an earlier start is left.
 func (l *Ledger) MayAll(j *Job) bool {
