--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -335,7 +335,7 @@
 		os := p.offers(types, true, need, now)
 		if len(os) > 0 {
 			plan.Rents = p.fill(plan.Rents, os, types, lack, true)
-		} else if over := min(need.Queue, need.Paced) - room/2; over > 0 {
+		} else if over := min(need.Queue, need.Paced) - room; over > 0 {
 			// Firm machines for such work only when the queue is longer than
 			// what the room there is takes on in about a boot's time, and
 			// would be late.
