The leader picks for an owner that is out of reach

Change: where an owner does not answer, the leader picks by the rates it learned itself. The ledger confirms as before.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -105,8 +105,8 @@
 	return n > 0 && (passed || look.more)
 }
 
-// ask has the owners pick, all at once. An owner that does not answer soon has
-// its rooms offered again with the next pass.
+// ask has the owners pick, all at once. For an owner that does not answer soon the
+// leader picks, by the rates that it learned itself.
 func (r *reign) ask(ctx context.Context, offers map[string]*placement.Offer) []placement.Picked {
 	ctx, cancel := context.WithTimeout(ctx, r.set.Report()/12)
 	defer cancel()
@@ -117,7 +117,13 @@
 		wg.Go(func() {
 			ps, err := r.parts.Pick(ctx, node, *o)
 			if err != nil {
+				// Its rooms would stand empty until the map is without it: for two report
+				// intervals where two owners are out of reach.
 				r.log.Debug("picks", "owner", node, "err", err)
+				ps, err = r.parts.Pick(ctx, r.set.Node, *o)
+				if err != nil {
+					r.log.Debug("picks", "owner", r.set.Node, "err", err)
+				}
 			}
 			mu.Lock()
 			defer mu.Unlock()
