An answer on its way is no loss of data

A doubt raised at any latency, only more often at a slow one. Change: only what this node knew before it asked can be contradicted by the answer. Result: a table of answers that cross with news; without the change each is doubted.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -309,11 +309,12 @@
 			err = history.ErrDoubt
 		}
 		var p known
+		before := u.glance(ref)
 		if err == nil {
 			p, err = u.read(ctx, ref)
 		}
 		if errors.Is(err, state.ErrNotFound) {
-			p, err = u.absent(ctx, ref)
+			p, err = u.absent(ctx, ref, before)
 		}
 		if err == nil || errors.Is(err, state.ErrNotFound) {
 			return p, err
@@ -325,9 +326,10 @@
 }
 
 func (u *Users) read(ctx context.Context, ref string) (known, error) {
+	before := u.glance(ref)
 	it, err := u.st.Get(ctx, ledger.LiveKey(ref))
 	if err == nil {
-		if p, ok := u.returned(ref); ok {
+		if p, ok := u.returned(ref, before); ok {
 			return p, nil
 		}
 		p := known{Phase: wire.Phase{Ref: ref, Phase: wire.Queued}}
@@ -442,11 +444,12 @@
 	if err != nil {
 		return known{}, err
 	}
+	before := u.glance(ref)
 	it, err := u.st.Get(ctx, ledger.LiveKey(ref))
 	if errors.Is(err, state.ErrNotFound) {
 		p, err := u.read(ctx, ref)
 		if errors.Is(err, state.ErrNotFound) {
-			return u.endLost(ctx, who, ref, fence)
+			return u.endLost(ctx, who, ref, fence, before)
 		}
 		if err == nil {
 			_, err = u.may(who, rights.Withdraw, p.owner, ref)
@@ -456,7 +459,7 @@
 	if err != nil {
 		return known{}, err
 	}
-	if p, ok := u.returned(ref); ok {
+	if p, ok := u.returned(ref, before); ok {
 		_, err := u.may(who, rights.Withdraw, p.owner, ref)
 		return p, err
 	}
--- a/internal/intake/needs.go
+++ b/internal/intake/needs.go
@@ -100,6 +100,7 @@
 
 func (u *Users) find(ctx context.Context, ref string) (open bool, owner string, bad, err error) {
 	service := fmt.Errorf("waits_on: %s is a service", ref)
+	before := u.glance(ref)
 	it, err := u.st.Get(ctx, ledger.LiveKey(ref))
 	if err == nil {
 		rec, err := ledger.DecodeRecord(it.Data)
@@ -117,7 +118,7 @@
 	// A job goes from live to ended, so what is neither was never accepted.
 	it, err = u.st.Get(ctx, ledger.EndedKey(ref))
 	if errors.Is(err, state.ErrNotFound) {
-		if err := u.sure(ref); err != nil {
+		if err := u.sure(ref, before); err != nil {
 			return false, "", nil, err
 		}
 		return false, "", fmt.Errorf("waits_on: %s was never accepted", ref), nil
--- a/internal/intake/needs_test.go
+++ b/internal/intake/needs_test.go
@@ -30,6 +30,7 @@
 	m    map[string]string
 	down bool
 	gets int
+	late func() // what happens while the answer to a read is on its way
 }
 
 func (k *keys) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -41,6 +42,9 @@
 	}
 	if key, ok := strings.CutPrefix(r.URL.Path, "/store/"); ok {
 		k.gets++
+		if k.late != nil {
+			defer k.late()
+		}
 		if v, ok := k.m[key]; ok {
 			fmt.Fprintf(w, `{"path":%q,"stamp":1,"data":%s}`, key, v)
 			return
--- a/internal/intake/past.go
+++ b/internal/intake/past.go
@@ -35,17 +35,30 @@
 	Young() bool
 }
 
+// glance is what this node remembered of a job before it asked the state service. Only what was
+// known by then can be contradicted by the answer: while it is on its way, and for long
+// where the state service answers slowly, the job may be accepted, or end, and this node
+// hear of that first.
+type glance struct{ known, ended bool }
+
+func (u *Users) glance(ref string) glance {
+	_, ended := u.copies.Get(ledger.EndedKey(ref))
+	return glance{known: ended || u.copies.Knows(ref), ended: ended}
+}
+
 // sure tells whether a job that is not stored never was accepted, as far as can be
 // known: while a history is put together again, and where this node remembers the job,
 // it may have been.
-func (u *Users) sure(ref string) error {
+func (u *Users) sure(ref string, before glance) error {
 	_, phase, err := u.past.Fence()
 	switch {
 	case err != nil:
 		return err
-	case phase == history.Whole && u.copies.Knows(ref):
+	case phase == history.Whole && before.known:
 		u.past.Doubt("job " + ref + " is gone without an end")
 		return history.ErrDoubt
+	case u.copies.Knows(ref):
+		return history.ErrDoubt // it has come since: asked again, it is there
 	case phase != history.Whole, !u.past.Fed():
 		// Not all who may know were heard; and a node that has just begun remembers
 		// nothing yet.
@@ -73,9 +86,9 @@
 // returned tells the end of a job that is stored as alive though this node remembers
 // that it is over: the state service went back behind its end, which the answer to a
 // read of a key does not show.
-func (u *Users) returned(ref string) (known, bool) {
+func (u *Users) returned(ref string, before glance) (known, bool) {
 	p, ok := u.over(ref)
-	if ok {
+	if ok && before.ended {
 		u.past.Doubt("job " + ref + " is alive again")
 	}
 	return p, ok
@@ -125,8 +138,8 @@
 
 // absent is what is told of a job that is not stored. One of which machines have tasks
 // was accepted, though nothing else is known of it.
-func (u *Users) absent(ctx context.Context, ref string) (known, error) {
-	if err := u.sure(ref); err != nil {
+func (u *Users) absent(ctx context.Context, ref string, before glance) (known, error) {
+	if err := u.sure(ref, before); err != nil {
 		return known{}, err
 	}
 	if !u.past.Lost() {
@@ -143,8 +156,8 @@
 }
 
 // endLost withdraws a job of which there is nothing but tasks on machines.
-func (u *Users) endLost(ctx context.Context, who identity.Caller, ref string, fence []wire.Guard) (known, error) {
-	if _, err := u.absent(ctx, ref); err != nil {
+func (u *Users) endLost(ctx context.Context, who identity.Caller, ref string, fence []wire.Guard, before glance) (known, error) {
+	if _, err := u.absent(ctx, ref, before); err != nil {
 		return known{}, err
 	}
 	if _, err := u.may(who, rights.Withdraw, "", ref); err != nil {
--- a/internal/intake/past_test.go
+++ b/internal/intake/past_test.go
@@ -89,3 +89,46 @@
 		})
 	}
 }
+
+// The answer to a read may be on its way while a job ends or is accepted, and this node may
+// hear of that first. Nothing was lost then: taken for a loss, it stood all placing still
+// for ten seconds.
+func TestAnswersOnTheirWay(t *testing.T) {
+	const live, done = `{"job":{"ref":"req-1","members":1},"at":1,"chunk":8}`, `{"phase":"done","tasks":4}`
+	for _, tc := range []struct {
+		name      string
+		stored    map[string]string
+		meanwhile wire.Change
+		ask       string
+		status    int
+		phase     string
+	}{
+		{"asked for, done meanwhile", map[string]string{"j/req-1": live}, wire.Change{Put: "d/req-1", Data: []byte(done)}, "GET", 200, wire.Done},
+		{"withdrawn, done meanwhile", map[string]string{"j/req-1": live}, wire.Change{Put: "d/req-1", Data: []byte(done)}, "POST", 200, wire.Done},
+		{"asked for, accepted meanwhile", nil, wire.Change{Put: "j/req-1", Data: []byte(live)}, "GET", 503, ""},
+		{"withdrawn, accepted meanwhile", nil, wire.Change{Put: "j/req-1", Data: []byte(live)}, "POST", 503, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			k := &keys{m: map[string]string{}}
+			for key, v := range tc.stored {
+				k.m[key] = v
+			}
+			u, mux := users(t, k)
+			p := &past{phase: history.Whole, fed: true}
+			u.past = p
+			k.late = func() { u.copies.Apply(1, tc.meanwhile) }
+			path := "/v1/jobs/req-1"
+			if tc.ask == "POST" {
+				path += "/withdraw"
+			}
+			rec := httptest.NewRecorder()
+			mux.ServeHTTP(rec, httptest.NewRequest(tc.ask, path, nil))
+			if rec.Code != tc.status || tc.phase != "" && !strings.Contains(rec.Body.String(), `"`+tc.phase+`"`) {
+				t.Errorf("%d %s, want %d %s", rec.Code, rec.Body, tc.status, tc.phase)
+			}
+			if p.doubted != "" {
+				t.Errorf("doubted: %s", p.doubted)
+			}
+		})
+	}
+}
