Times count from when the leader saw a job come, whatever the clock of who accepted it

Cause: found by reading what rests on the time of day, where clocks may be a second off: due times and waits counted from the accepting node's stamp by the leader's clock, two seconds apart at worst against starts wanted within 3 to 15 s; a job of before a loss of data was told by the same comparison, so that one of a node whose clock is ahead could have been placed while its task was on a machine not yet heard; a machine behind a cut with a withdrawn task was returned by it too. Change: jobs that are seen to come count from then, and are by that known to be younger than the loss; the return allows for both clocks. Simulated controllers now stamp by clocks up to two seconds apart.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -52,7 +52,7 @@
 	d := &Door{node: set.Node, every: set.Lease() / 4, ring: ring, told: a.Audited(), st: st, log: log, now: time.Now, began: time.Now().UnixNano()}
 	if a.Identified() {
 		d.rules = &a.Rules
-		skew := settings.Seconds(set.Facts.ClockErrorMS / 1000)
+		skew := set.ClockError()
 		d.who = identity.New(ring, time.Duration(a.Trust*float64(set.Lease())), skew, log)
 	}
 	return d
--- a/internal/control/chain.go
+++ b/internal/control/chain.go
@@ -80,7 +80,7 @@
 // readied notes jobs that now wait for no other.
 func (r *reign) readied(js []*ledger.Job) {
 	for _, j := range js {
-		r.log.Info("ready", "job", j.Ref, "class", j.Spec.Class, "waited_s", j.ReadyAt.Sub(j.At).Seconds())
+		r.log.Info("ready", "job", j.Ref, "class", j.Spec.Class, "waited_s", j.ReadyAt.Sub(j.From).Seconds())
 	}
 	if len(js) > 0 {
 		kick(r.plans)
@@ -197,7 +197,7 @@
 	l := &ledger.Lift{Rank: rankOf(j.Spec.Rank), Due: make([]time.Time, len(r.set.Facts.Objectives))}
 	for k, o := range r.set.Facts.Objectives {
 		if o.Kind == "deadline" && o.Class == j.Spec.Class && j.Spec.DueS > 0 {
-			l.Due[k] = j.At.Add(time.Duration(j.Spec.DueS * max(o.Times, 1) * float64(time.Second)))
+			l.Due[k] = j.From.Add(time.Duration(j.Spec.DueS * max(o.Times, 1) * float64(time.Second)))
 		}
 	}
 	for _, n := range r.led.Needers(j) {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -218,11 +218,16 @@
 		r.mu.Lock()
 		for _, ch := range log.Log {
 			if ch.Put != "" {
+				ref := ch.Put[len(ledger.LivePrefix):]
+				known := r.led.Job(ref) != nil
 				if err := r.addJob(ch.Put, ch.Data, ch.Stamp); err != nil {
 					r.mu.Unlock()
 					return r.doubt(err)
 				}
-				r.adopt(ch.Put[len(ledger.LivePrefix):])
+				if !known {
+					r.led.Job(ref).Arrive(r.now())
+				}
+				r.adopt(ref)
 				told = append(told, ch)
 				continue
 			}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -275,6 +275,23 @@
 	}
 }
 
+// A job's times count from when the leader saw it come, whatever the clock of the node that
+// accepted it said; of a job that was there before, from what is stored.
+func TestClocksApart(t *testing.T) {
+	for _, off := range []time.Duration{-time.Second, time.Second} {
+		r := term(t)
+		j := r.led.Add("req-1", ledger.Record{Job: wire.Job{Class: "d", Owner: "t", Members: 1, Cores: 1, ExpectS: 10, DueS: 20}, AtMS: now.Add(off).UnixMilli(), Chunk: 8}, 1)
+		if got := r.lift(j).Due[2]; !got.Equal(now.Add(off + 30*time.Second)) {
+			t.Errorf("clock off by %v, there before: due %v", off, got.Sub(now))
+		}
+		j.Lift = nil
+		j.Arrive(now)
+		if got := r.lift(j).Due[2]; !got.Equal(now.Add(30*time.Second)) || !j.ReadyAt.Equal(now) || !j.WaitingSince.Equal(now) {
+			t.Errorf("clock off by %v, seen to come: due %v, ready %v", off, got.Sub(now), j.ReadyAt.Sub(now))
+		}
+	}
+}
+
 // Work with time for several rounds needs fewer machines at once.
 func TestPace(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/control/flush.go
+++ b/internal/control/flush.go
@@ -309,7 +309,7 @@
 		}
 	}
 	for _, j := range res.Ended {
-		r.log.Info("done", "job", j.Ref, "class", j.Spec.Class, "tasks", j.Spec.Members, "took_s", r.now().Sub(j.At).Seconds(), "ready_s", r.now().Sub(j.ReadyAt).Seconds())
+		r.log.Info("done", "job", j.Ref, "class", j.Spec.Class, "tasks", j.Spec.Members, "took_s", r.now().Sub(j.From).Seconds(), "ready_s", r.now().Sub(j.ReadyAt).Seconds())
 	}
 	r.readied(res.Ready)
 	if len(res.Over) > 0 {
--- a/internal/control/hold.go
+++ b/internal/control/hold.go
@@ -90,7 +90,7 @@
 // since data was lost, though nobody remembers them.
 func (r *reign) withheld(j *ledger.Job) bool {
 	b := r.back
-	return b != nil && b.all && b.released.IsZero() && j.At.Before(r.began)
+	return b != nil && b.all && b.released.IsZero() && !j.Came
 }
 
 // settle takes in a report where claims are of a history that was lost: what the
--- a/internal/control/hold_test.go
+++ b/internal/control/hold_test.go
@@ -51,8 +51,10 @@
 			if got := r.holding(began.Add(tc.at)); got != tc.holding {
 				t.Errorf("holding: %v", got)
 			}
-			old := r.led.Add("r", ledger.Record{Job: wire.Job{Ref: "r", Members: 1}, AtMS: began.Add(-time.Second).UnixMilli()}, 1)
-			late := r.led.Add("s", ledger.Record{Job: wire.Job{Ref: "s", Members: 1}, AtMS: began.Add(time.Second).UnixMilli()}, 1)
+			old := r.led.Add("r", ledger.Record{Job: wire.Job{Ref: "r", Members: 1}, AtMS: began.Add(time.Second).UnixMilli()}, 1)
+			// Accepted by a node whose clock is behind: what counts is that it was seen to come.
+			late := r.led.Add("s", ledger.Record{Job: wire.Job{Ref: "s", Members: 1}, AtMS: began.Add(-time.Second).UnixMilli()}, 1)
+			late.Arrive(began.Add(time.Second))
 			if r.withheld(old) != tc.withheld || r.withheld(late) {
 				t.Errorf("withheld: %v, %v", r.withheld(old), r.withheld(late))
 			}
--- a/internal/control/quiet.go
+++ b/internal/control/quiet.go
@@ -78,7 +78,8 @@
 // when it must be gone. A controller behind the same cut may answer the worker all
 // the while, and knows of no withdrawal: then only the machine's return ends it.
 func (r *reign) outlives(h *agent.Host, now time.Time) bool {
-	grace := settings.Seconds(r.set.Facts.Workers.CancelS) - 2*r.set.Report()
+	// The time of a withdrawal may be by another node's clock: both may be off.
+	grace := settings.Seconds(r.set.Facts.Workers.CancelS) - 2*r.set.Report() - 2*r.set.ClockError()
 	for _, c := range r.led.OnHost(h.Name) {
 		if c.Job.Withdrawn && !c.Over && now.Sub(c.Job.WithdrawnAt) > grace {
 			return true
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -59,8 +59,8 @@
 // whether the state service has not answered for long; full whether memory is
 // short; door who may do what; past whether data may have been lost, and kept what this
 // node remembers of it.
-func New(set *settings.Settings, st *state.Client, types *fleet.Catalogue, counts Counts, down, full func() bool, door *access.Door, past Past, kept *copies.Copy, log *slog.Logger) *Users {
-	return &Users{set: set, st: st, types: types, counts: counts, down: down, full: full, door: door, past: past, copies: kept, log: log, now: time.Now, ended: newMemory(4096), batch: newMemory(4096)}
+func New(set *settings.Settings, st *state.Client, types *fleet.Catalogue, counts Counts, down, full func() bool, door *access.Door, past Past, kept *copies.Copy, now func() time.Time, log *slog.Logger) *Users {
+	return &Users{set: set, st: st, types: types, counts: counts, down: down, full: full, door: door, past: past, copies: kept, log: log, now: now, ended: newMemory(4096), batch: newMemory(4096)}
 }
 
 // again tells whether to ask the state service once more after an error. What
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -60,7 +60,9 @@
 type Job struct {
 	Ref       string
 	Spec      wire.Job
-	At        time.Time // when it was submitted
+	At        time.Time // when it was submitted, by the clock of the node that accepted it
+	From      time.Time // the same by this node's clock, as near as is known
+	Came      bool      // this node saw it come: it was not there when it began
 	Withdrawn bool
 	// WithdrawnAt is when its user may first have been told that it is; the
 	// caller sets it for jobs withdrawn later. Zero: not known.
@@ -242,12 +244,22 @@
 		Ref: ref, Spec: rec.Job, Origin: rec.Origin, At: time.UnixMilli(rec.AtMS), stamp: stamp, size: max(1, rec.Chunk),
 		chunks: make(map[int]*chunk), claims: make(map[int]*Held), zones: make(map[string]int),
 	}
-	j.WaitingSince, j.ReadyAt = j.At, j.At
+	j.From, j.WaitingSince, j.ReadyAt = j.At, j.At, j.At
 	l.jobs[ref] = j
 	l.await(j)
 	return j
 }
 
+// Arrive notes that a job was seen to come at a time. All that is counted from its
+// submission counts from then: the clock of the node that accepted it may be off by more
+// than what its users wait for.
+func (j *Job) Arrive(at time.Time) {
+	j.Came, j.From = true, at
+	if j.ReadyAt.Equal(j.At) {
+		j.WaitingSince, j.ReadyAt = at, at
+	}
+}
+
 // Load takes in a stored chunk of a job already added. Its claims may have
 // been launched by an earlier leader, under an epoch of at most the one given.
 func (l *Ledger) Load(key string, data []byte, stamp, epoch uint64) error {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -58,6 +58,9 @@
 type Net struct {
 	Dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 	Listen func(addr string) (net.Listener, error)
+	// Day is the time of day, by which accepted jobs are stamped. It may be off from that
+	// of other nodes; nil: the machine's. Durations are measured by the steady clock.
+	Day func() time.Time
 }
 
 // TCP is the network of the machine.
@@ -70,6 +73,10 @@
 func Run(ctx context.Context, set *settings.Settings, nw Net, log *slog.Logger) error {
 	op, facts := set.Operator, set.Facts
 	nodes := float64(1 + len(set.Members))
+	day := nw.Day
+	if day == nil {
+		day = time.Now
+	}
 	d := &daemon{set: set, log: log, began: time.Now(), asks: make(chan uint64, 1)}
 	// Any node may lead and then needs most of the budget; the rest is
 	// shared. Spent in full by all, this stays at what the service allows.
@@ -114,7 +121,7 @@
 		Types: types, Parts: d.part, Full: d.memory.High, Ring: kept, History: d.hist, Copies: d.copies, Peers: d.mesh, Log: log,
 	})
 	mux := http.NewServeMux()
-	intake.New(set, d.st, types, d.counts, d.part.Refused, d.memory.High, d.door, d, d.copies, log).Routes(mux)
+	intake.New(set, d.st, types, d.counts, d.part.Refused, d.memory.High, d.door, d, d.copies, day, log).Routes(mux)
 	d.users = mux
 
 	front, err := nw.Listen(set.Front)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -219,6 +219,9 @@
 // Report is how often a worker reports.
 func (s *Settings) Report() time.Duration { return Seconds(s.Facts.Workers.ReportS) }
 
+// ClockError is how far the time of day may be off, either way.
+func (s *Settings) ClockError() time.Duration { return Seconds(s.Facts.ClockErrorMS / 1000) }
+
 // Team finds a team by name.
 func (s *Settings) Team(name string) (Team, bool) {
 	for _, t := range s.Facts.Teams {
--- a/internal/sim/network_test.go
+++ b/internal/sim/network_test.go
@@ -119,6 +119,7 @@
 		Listen: func(addr string) (net.Listener, error) {
 			return n.listen(host, addr), nil
 		},
+		Day: func() time.Time { return time.Now().Add(clockOff[host]) },
 	}
 }
 
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -34,6 +34,9 @@
 	cancel = 40 * time.Second
 )
 
+// clockOff is how far the clocks of controllers are off, which are told of a second.
+var clockOff = map[string]time.Duration{"host-0": time.Second, "host-1": -time.Second, "host-2": 300 * time.Millisecond}
+
 // zoneOf is the zone of a controller.
 func zoneOf(n int) string { return []string{"a", "b", "a"}[n] }
 
@@ -212,11 +215,12 @@
 		Node: fmt.Sprintf("host-%d", n), Zone: zoneOf(n), Front: front(n), Back: back(n), Operator: op,
 		Services: settings.Services{Cloud: "cloud:1", State: "state:1"},
 		Facts: settings.Facts{
-			Teams:     []settings.Team{{Name: "a", CPUs: 8, CPUsMax: w.limit}, {Name: "b", CPUs: 8, CPUsMax: w.limit}},
-			Workers:   settings.Workers{ReportS: report.Seconds(), LeaseS: lease.Seconds(), CancelS: cancel.Seconds()},
-			State:     settings.State{RPS: 200, WriteRPS: 50, ValueKB: 16, TxnOps: 16},
-			Cloud:     settings.Cloud{RPS: 5, ListLagS: 2},
-			Resources: settings.Resources{CPUShare: 0.1, MemoryMB: 1 << 15, Sockets: 500},
+			ClockErrorMS: 1000,
+			Teams:        []settings.Team{{Name: "a", CPUs: 8, CPUsMax: w.limit}, {Name: "b", CPUs: 8, CPUsMax: w.limit}},
+			Workers:      settings.Workers{ReportS: report.Seconds(), LeaseS: lease.Seconds(), CancelS: cancel.Seconds()},
+			State:        settings.State{RPS: 200, WriteRPS: 50, ValueKB: 16, TxnOps: 16},
+			Cloud:        settings.Cloud{RPS: 5, ListLagS: 2},
+			Resources:    settings.Resources{CPUShare: 0.1, MemoryMB: 1 << 15, Sockets: 500},
 		},
 	}
 	w.mu.Lock()
