Workers' connections are kept only while there are places for them

Workers keep their connections, the front has 0.6 of the sockets, so those without a place time out until their leases are over. Change: above 0.9 of the front's places an answer to a worker ends its connection.

--- a/internal/serve/front.go
+++ b/internal/serve/front.go
@@ -51,6 +51,7 @@
 // beat answers a worker's report, or says who may.
 func (d *daemon) beat(w http.ResponseWriter, r *http.Request) {
 	d.part.Heard()
+	d.crowd.ease(w)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, agent.MaxBody))
 	var rep wire.Report
 	if err == nil {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -49,6 +49,7 @@
 	door    *access.Door
 	hist    *history.Keeper
 	copies  *copies.Copy
+	crowd   *crowd
 	asks    chan uint64 // epochs that workers show and nobody knows
 	log     *slog.Logger
 	began   time.Time
@@ -133,13 +134,15 @@
 		front.Close()
 		return fmt.Errorf("back: %w", err)
 	}
-	front = netutil.LimitListener(front, int(op.Limits.Sockets*float64(facts.Resources.Sockets)))
+	places := int(op.Limits.Sockets * float64(facts.Resources.Sockets))
+	d.crowd = newCrowd(places)
+	front = netutil.LimitListener(front, places)
 	if tls != nil {
 		front, back = tls.Listen(front, op.TLS.Front, false), tls.Listen(back, op.TLS.Back, true)
 	}
 	srv := &http.Server{
 		Handler: d.routes(), ReadHeaderTimeout: 2 * set.Report(), IdleTimeout: 2 * set.Lease(),
-		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnState: d.crowd.note, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	var keep *snapshot.Folder
 	if op.Rebuild.Folder != "" {
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -104,3 +104,58 @@
 		t.Logf("%d machines rented in all, %d of %d behind the cut kept, %d changes written", cl.next, kept, all, len(st.log))
 	})
 }
+
+// One controller is left with all machines, and has fewer places for connections than
+// there are machines: their leases last all the same, and their tasks run on.
+func TestMoreMachinesThanSockets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const machines = 96
+		ctx, w, _, cl, cs, end := begin(t, 21, 4*machines, machines/2, "")
+		w.mu.Lock()
+		w.sockets = machines
+		w.mu.Unlock()
+		for n := range nodes {
+			cs[n].crash()
+			cs[n] = w.boot(n)
+		}
+		for i := range 12 {
+			w.submit(ctx, wire.Job{Ref: fmt.Sprintf("req-%06d", i), Class: "c", Owner: "ab"[i%2 : i%2+1], Shape: wire.Standing, Rank: "production",
+				Members: machines / 12, Cores: 2, RAM: 2, Bundle: "img"}, time.Duration(1+i)*time.Second, 0)
+		}
+		time.Sleep(45 * time.Second)
+		w.mu.Lock()
+		before := places(maps.Clone(w.where))
+		w.mu.Unlock()
+		cs[0].crash()
+		cs[1].crash()
+		time.Sleep(3 * lease)
+		w.mu.Lock()
+		kept := 0
+		for id, host := range before {
+			if w.where[id] == host {
+				kept++
+			}
+		}
+		expired := 0
+		for _, k := range w.workers {
+			k.mu.Lock()
+			if k.tenure > 1 {
+				expired++
+			}
+			k.mu.Unlock()
+		}
+		w.mu.Unlock()
+		cl.mu.Lock()
+		up := len(cl.hosts)
+		cl.mu.Unlock()
+		cs[0], cs[1] = w.boot(0), w.boot(1)
+		end()
+		for _, b := range w.breaches {
+			t.Error(b)
+		}
+		if len(before) < machines/2 || kept != len(before) || expired > 0 {
+			t.Errorf("%d of %d tasks run on, %d machines, %d leases ran out", kept, len(before), up, expired)
+		}
+		t.Logf("%d of %d tasks run on, %d machines, %d leases ran out", kept, len(before), up, expired)
+	})
+}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -67,6 +67,7 @@
 	upgraded [nodes]bool           // told of the lower limits to come
 	starts   int
 	most     int          // machines of a kind and zone
+	sockets  int          // of a controller; 0: plenty
 	ran      map[run]bool // tries that started
 	operator string       // the operators' settings; "": none of their own
 	store    *store
@@ -226,6 +227,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s.Facts.Resources.Sockets = max(s.Facts.Resources.Sockets, 8*w.most)
+	if w.sockets > 0 {
+		s.Facts.Resources.Sockets = w.sockets
+	}
 	if w.most >= 100 { // the limits of a larger deployment
 		s.Facts.State.RPS, s.Facts.State.WriteRPS, s.Facts.Cloud.RPS = 500, 80, 12
 	}
