--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -211,13 +211,16 @@
 	for _, tc := range []struct {
 		name          string
 		first, second time.Duration // since when each is ready
+		lost          time.Duration // since when the first waits again, if it ran
 		other         bool          // the second is of a team that is past its guarantee
 		want          bool          // the first goes first
 	}{
-		{"both in time: who came first", 10 * time.Second, 5 * time.Second, false, true},
-		{"the first late", 13 * time.Second, 5 * time.Second, false, false},
-		{"both late: who came first", 60 * time.Second, 13 * time.Second, false, true},
-		{"late, but the other is past its guarantee", 13 * time.Second, 5 * time.Second, true, true},
+		{"both in time: who came first", 10 * time.Second, 5 * time.Second, 0, false, true},
+		{"the first late", 13 * time.Second, 5 * time.Second, 0, false, false},
+		{"both late: who came first", 60 * time.Second, 13 * time.Second, 0, false, true},
+		{"lost just now, of a job long ready", 60 * time.Second, 5 * time.Second, 2 * time.Second, false, true},
+		{"lost long ago", 60 * time.Second, 5 * time.Second, 20 * time.Second, false, false},
+		{"late, but the other is past its guarantee", 13 * time.Second, 5 * time.Second, 0, true, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := term(t)
@@ -230,6 +233,10 @@
 			}
 			b := r.add("req-2", job)
 			a.ReadyAt, b.ReadyAt = now.Add(-tc.first), now.Add(-tc.second)
+			a.WaitingSince, b.WaitingSince = a.ReadyAt, b.ReadyAt
+			if tc.lost > 0 {
+				a.WaitingSince = now.Add(-tc.lost)
+			}
 			jobs := []*ledger.Job{b, a}
 			r.order(jobs, now)
 			if got := jobs[0] == a; got != tc.want {
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -442,7 +442,8 @@
 		case j.Spec.Shape == wire.Standing:
 			// Replicas that have waited for longer start late whenever they do. Where
 			// room of a kind is short for good they would keep all others waiting too.
-			if now.After(by) {
+			// One that ran and was lost waits from then on, and goes with the new ones.
+			if now.After(j.WaitingSince.Add(settings.Seconds(o.WithinS))) {
 				u.stage++
 			}
 		case now.Add(run).After(by):
