Tests: a rebuild cut short behind each of its writes

Change: on a small world the store loses data, and whoever makes the k-th write of the rebuild ends with its answer lost, for every k, back at once or when the next has taken over.

--- /dev/null
+++ b/internal/sim/crashpoint_test.go
@@ -0,0 +1,104 @@
+package sim
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rillflow/internal/wire"
+)
+
+// atWrite waits for a write of a rebuild, by its number, and gives the node that made it;
+// its answer is lost. It tells false if the history was whole again before.
+func (d *lossDay) atWrite(number int) (node int, came bool) {
+	type write struct {
+		node  string
+		whole bool
+	}
+	seen := make(chan write, 1)
+	begun, n := false, 0
+	d.st.mu.Lock()
+	d.st.done = func(from string, t wire.Commit) bool {
+		begun = begun || puts(t, "history/id/")
+		if !begun || !puts(t, "history/") && !puts(t, "j/") && !puts(t, "c/") && !puts(t, "d/") {
+			return false
+		}
+		whole := false
+		for _, c := range t.Apply {
+			whole = whole || c.Put == "history/phase" && bytes.Contains(c.Data, []byte("whole"))
+		}
+		n++
+		if n == number || whole {
+			select {
+			case seen <- write{from, n != number}:
+			default:
+			}
+		}
+		return n == number
+	}
+	d.st.mu.Unlock()
+	var w write
+	select {
+	case w = <-seen:
+	case <-time.After(2 * lease):
+		w.whole = true
+	}
+	d.st.mu.Lock()
+	d.st.done = nil
+	d.st.mu.Unlock()
+	if w.whole || !strings.HasPrefix(w.node, "host-") {
+		return 0, false
+	}
+	fmt.Sscanf(w.node, "host-%d", &node)
+	return node, true
+}
+
+// A rebuild is cut short behind each of its writes in turn, the write carried out and its
+// answer lost; whoever wrote is back after 50 ms, or only when the next has taken over.
+func TestRebuildCutShort(t *testing.T) {
+	for _, l := range []struct {
+		name string
+		how  string
+		back time.Duration
+	}{{"all keys, back at once", wiped, 50 * time.Millisecond}, {"restored, gone for longer", restored, 8 * time.Second}} {
+		t.Run(l.name, func(t *testing.T) {
+			last := 0
+			for k := 1; ; k++ {
+				came := false
+				synctest.Test(t, func(t *testing.T) {
+					d, before, end := lossDayOf(t, 700, 8, "")
+					d.lose(l.how, 15*time.Second, "")
+					var node int
+					if node, came = d.atWrite(k); came {
+						d.crash(node, l.back)
+					}
+					kept := d.kept(before, 40*time.Second)
+					time.Sleep(150 * time.Second)
+					end()
+					for _, b := range d.w.breaches {
+						t.Errorf("write %d: %s", k, b)
+					}
+					for ref, j := range d.w.jobs {
+						if want := map[string]string{wire.Batch: wire.Done, wire.Standing: wire.Withdrawn}[j.Shape]; d.w.told[ref] != want {
+							t.Errorf("write %d: %s is %q, want %s", k, ref, d.w.told[ref], want)
+						}
+					}
+					if float64(kept) < 0.9*float64(len(before)) {
+						t.Errorf("write %d: %d of %d tasks run on, or are done", k, kept, len(before))
+					}
+				})
+				if !came {
+					break
+				}
+				last = k
+			}
+			if last < 3 {
+				t.Errorf("only %d writes were cut short", last)
+			}
+			t.Logf("%d writes, each the last of its leader once", last)
+		})
+	}
+}
