A poll reads a live key together with the generation

Change: the key is read by a listing of it alone, which tells the generation, and what the node was asked is answered only if no doubt was raised by it. Result: tables for the client and for users; the same number of requests.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -327,11 +327,16 @@
 
 func (u *Users) read(ctx context.Context, ref string) (known, error) {
 	before := u.glance(ref)
-	it, err := u.st.Get(ctx, ledger.LiveKey(ref))
+	it, err := u.st.Look(ctx, ledger.LiveKey(ref))
 	if err == nil {
 		if p, ok := u.returned(ref, before); ok {
 			return p, nil
 		}
+		// The answer may be the one that showed that the history went back, behind an end
+		// that another node told of and this one never heard of.
+		if _, err := u.fence(); err != nil {
+			return known{}, err
+		}
 		p := known{Phase: wire.Phase{Ref: ref, Phase: wire.Queued}}
 		if !u.door.Open() {
 			rec, err := ledger.DecodeRecord(it.Data)
--- a/internal/intake/needs_test.go
+++ b/internal/intake/needs_test.go
@@ -52,6 +52,17 @@
 		w.WriteHeader(404)
 		return
 	}
+	if r.URL.Path == "/store" {
+		if k.late != nil {
+			defer k.late()
+		}
+		if v, ok := k.m[r.URL.Query().Get("under")]; ok {
+			fmt.Fprintf(w, `{"items":[{"path":%q,"stamp":1,"data":%s}],"generation":2}`, r.URL.Query().Get("under"), v)
+			return
+		}
+		fmt.Fprint(w, `{"items":[],"generation":2}`)
+		return
+	}
 	var t wire.Commit
 	json.NewDecoder(r.Body).Decode(&t)
 	for _, g := range t.Guards {
--- a/internal/intake/past_test.go
+++ b/internal/intake/past_test.go
@@ -106,6 +106,7 @@
 		{"asked for, done meanwhile", map[string]string{"j/req-1": live}, wire.Change{Put: "d/req-1", Data: []byte(done)}, "GET", 200, wire.Done},
 		{"withdrawn, done meanwhile", map[string]string{"j/req-1": live}, wire.Change{Put: "d/req-1", Data: []byte(done)}, "POST", 200, wire.Done},
 		{"asked for, accepted meanwhile", nil, wire.Change{Put: "j/req-1", Data: []byte(live)}, "GET", 503, ""},
+		{"alive, by the answer that shows that the history went back", map[string]string{"j/req-1": live}, wire.Change{}, "GET", 503, ""},
 		{"withdrawn, accepted meanwhile", nil, wire.Change{Put: "j/req-1", Data: []byte(live)}, "POST", 503, ""},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -116,7 +117,12 @@
 			u, mux := users(t, k)
 			p := &past{phase: history.Whole, fed: true}
 			u.past = p
-			k.late = func() { u.copies.Apply(1, tc.meanwhile) }
+			k.late = func() {
+				if tc.meanwhile.Put == "" {
+					p.err = history.ErrDoubt
+				}
+				u.copies.Apply(1, tc.meanwhile)
+			}
 			path := "/v1/jobs/req-1"
 			if tc.ask == "POST" {
 				path += "/withdraw"
--- a/internal/state/floor_test.go
+++ b/internal/state/floor_test.go
@@ -25,6 +25,8 @@
 		fmt.Fprintf(w, `{"generation":%d}`, s.gen)
 	case r.URL.Path == "/changes":
 		fmt.Fprintf(w, `{"generation":%d,"log":[]}`, s.gen)
+	case r.URL.Query().Get("under") == "here":
+		fmt.Fprintf(w, `{"generation":%d,"items":[{"path":"here","data":1,"stamp":1}]}`, s.gen)
 	default:
 		fmt.Fprintf(w, `{"generation":%d,"items":[]}`, s.gen)
 	}
@@ -45,6 +47,7 @@
 		{"forth", []step{{"miss", 5}, {"list", 9}, {"miss", 9}}, nil},
 		{"back, by a key that is not there", []step{{"miss", 9}, {"miss", 3}, {"miss", 4}}, []uint64{3}},
 		{"back, by a list", []step{{"list", 9}, {"list", 3}}, []uint64{3}},
+		{"back, by a key that is there", []step{{"look", 9}, {"look", 3}}, []uint64{3}},
 		{"back twice", []step{{"miss", 9}, {"miss", 3}, {"miss", 7}, {"list", 1}}, []uint64{3, 1}},
 		{"a stamp is reached", []step{{"here", 9}, {"miss", 3}}, []uint64{3}},
 		{"an old stamp means nothing", []step{{"miss", 9}, {"here", 3}, {"miss", 9}}, nil},
@@ -70,6 +73,8 @@
 					c.Get(ctx, "none")
 				case "here":
 					c.Get(ctx, "here")
+				case "look":
+					c.Look(ctx, "here")
 				case "list":
 					c.List(ctx, "j/")
 				case "watch":
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -383,6 +383,16 @@
 	return items[0], nil
 }
 
+// Look reads a key as Get does, by a listing of it alone: that tells the generation too,
+// by which a history that went back shows also where the key is there.
+func (c *Client) Look(ctx context.Context, key string) (wire.Item, error) {
+	it, err := c.First(ctx, key)
+	if err == nil && it.Path != key {
+		err = ErrNotFound
+	}
+	return it, err
+}
+
 // Commit runs a transaction once. With a nil error, failed names the guards
 // that did not hold; none means that it was applied.
 func (c *Client) Commit(ctx context.Context, t wire.Commit) (gen uint64, failed []string, err error) {
