--- a/internal/sim/services_test.go
+++ b/internal/sim/services_test.go
@@ -39,6 +39,7 @@
 	value  int             // limits: bytes of a value, changes of a transaction
 	ops    int
 	fallen bool
+	slow   time.Duration  // answers take up to so long, which is no outage
 	refust map[string]int // transactions refused for their size
 	broke  func(string, ...any)
 	times  []time.Time // of the changes in the log
@@ -140,6 +141,13 @@
 	s.cond.Broadcast()
 }
 
+// crawl has answers take up to so long.
+func (s *store) crawl(slow time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = slow
+}
+
 // expire ends grants that ran out; run it with the lock held.
 func (s *store) expire() {
 	if s.down {
@@ -170,6 +178,16 @@
 	// that is held meanwhile stops the simulation's clock.
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
+	slow := s.slow
+	if slow > 0 {
+		slow = slow/4 + time.Duration(s.rnd.Int64N(int64(slow)))
+	}
+	s.mu.Unlock()
+	time.Sleep(slow / 4) // there
+	if r.URL.Path != "/changes" {
+		defer time.Sleep(3 * slow / 4) // and back: carried out, and not known yet
+	}
+	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	if s.down || s.refuse[node] {
@@ -337,7 +355,8 @@
 	seen  map[string]time.Time // when listed first
 	count map[string]int
 	next  int
-	most  int // machines of a type, zone and kind
+	most  int            // machines of a type, zone and kind
+	few   map[string]int // in zones that have less
 }
 
 func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -377,7 +396,11 @@
 			return
 		}
 		var names []string
-		for len(names) < q.HowMany && c.count[q.Flavor+q.Locale] < c.most {
+		most := c.most
+		if n, ok := c.few[q.Locale]; ok {
+			most = n
+		}
+		for len(names) < q.HowMany && c.count[q.Flavor+q.Locale] < most {
 			c.count[q.Flavor+q.Locale]++
 			c.next++
 			n := fmt.Sprintf("i-%06d", c.next)
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -68,6 +68,7 @@
 	starts   int
 	most     int          // machines of a kind and zone
 	sockets  int          // of a controller; 0: plenty
+	teams    int          // equal ones; 0: two
 	ran      map[run]bool // tries that started
 	operator string       // the operators' settings; "": none of their own
 	store    *store
@@ -227,6 +228,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s.Facts.Resources.Sockets = max(s.Facts.Resources.Sockets, 8*w.most)
+	for i := range w.teams {
+		if i == 0 {
+			s.Facts.Teams = nil
+		}
+		s.Facts.Teams = append(s.Facts.Teams, settings.Team{Name: teamName(i), CPUs: 8, CPUsMax: w.limit})
+	}
 	if w.sockets > 0 {
 		s.Facts.Resources.Sockets = w.sockets
 	}
@@ -244,6 +251,8 @@
 	return s
 }
 
+func teamName(i int) string { return fmt.Sprintf("team-%02d", i) }
+
 // node runs a controller's process: it is killed without warning, and comes
 // back after a while.
 type node struct {
@@ -517,7 +526,7 @@
 // controllers first come back one by one knowing of lower limits, which then
 // come into force while jobs laid out before are on hand.
 func play(t testing.TB, seed uint64, piped bool, operator string, tamper func(*world)) (breaches []string, w *world) {
-	return playWith(t, seed, piped, []int{0, 1, 2, 3, 4, 5, 6, 7, fallMany, fallOften, blinks}, operator, tamper)
+	return playWith(t, seed, piped, []int{0, 1, 2, 3, 4, 5, 6, 7, fallMany, fallOften, blinks, crawls}, operator, tamper)
 }
 
 // Kinds of faults beside those that playWith draws by number: losses of data in the state
@@ -530,6 +539,7 @@
 	fallMany
 	fallOften
 	blinks
+	crawls // the state service answers slowly
 )
 
 // playWith plays a day with faults of the kinds given.
@@ -609,6 +619,10 @@
 				cs[n] = w.boot(n)
 				time.Sleep(time.Duration(50+rnd.IntN(900)) * time.Millisecond)
 			}
+		case crawls:
+			st.crawl(400 * time.Millisecond)
+			time.Sleep(time.Duration(5+rnd.IntN(30)) * time.Second)
+			st.crawl(0)
 		case blinks:
 			w.blink(cl, time.Duration(50+rnd.IntN(1500))*time.Millisecond)
 		case 2:
--- /dev/null
+++ b/internal/sim/teams_test.go
@@ -0,0 +1,132 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rillflow/internal/wire"
+)
+
+// reboot has all controllers begin anew, with what the test changed of the world.
+func (w *world) reboot(cs *[nodes]*node, change func()) {
+	w.mu.Lock()
+	change()
+	w.mu.Unlock()
+	for n := range nodes {
+		cs[n].crash()
+		cs[n] = w.boot(n)
+	}
+}
+
+// Sixteen equal teams share machines for half as much again as their guarantees; one of
+// them asks for ten times its share all the while, ahead of the others. Each of the others
+// is served as if it were alone, and the greedy one gets what they leave.
+func TestSixteenTeams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const teams = 16
+		ctx, w, _, _, cs, end := begin(t, 31, 48, 12, "")
+		w.reboot(cs, func() { w.teams = teams })
+		n := 0
+		submit := func(team int, rank string, members int, at time.Duration) {
+			w.submit(ctx, wire.Job{Ref: fmt.Sprintf("req-%06d", n), Class: "c", Owner: teamName(team), Shape: wire.Batch, Rank: rank,
+				Members: members, Cores: 2, RAM: 2, Bundle: "img", Loaners: true, ExpectS: 10}, at, 0)
+			n++
+		}
+		for i := range 20 {
+			submit(0, "urgent", 40, time.Duration(1+8*i)*time.Second)
+		}
+		for team := 1; team < teams; team++ {
+			for i := range 6 { // two cores on the average, four tasks at a time
+				submit(team, "urgent", 4, time.Duration(20+25*i+team)*time.Second)
+			}
+		}
+		time.Sleep(215 * time.Second)
+		w.mu.Lock()
+		least, most := 1.0, 0.0
+		for team := range teams {
+			asked, done := 0, 0
+			for ref, j := range w.jobs {
+				if j.Owner != teamName(team) {
+					continue
+				}
+				asked++
+				if w.finished(ref) {
+					done++
+				}
+			}
+			share := float64(done) / float64(asked)
+			if team > 0 {
+				least, most = min(least, share), max(most, share)
+			} else if share == 0 {
+				t.Error("the greedy team got nothing")
+			} else {
+				t.Logf("the greedy team: %.2f of %d jobs", share, asked)
+			}
+		}
+		w.mu.Unlock()
+		end()
+		for _, b := range w.breaches {
+			t.Error(b)
+		}
+		if least < 0.95 {
+			t.Errorf("of the others, the worst served has %.2f of its jobs done, the best %.2f", least, most)
+		}
+		t.Logf("the others: %.2f to %.2f", least, most)
+	})
+}
+
+// Of two zones one has room for a third of what spread services want there. Arrays do not
+// hold it, each service runs with all that its other half may have, machines of the large
+// zone do not pile up for what cannot be there, and new services start in full while old
+// ones wait.
+func TestScarceZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, w, _, cl, cs, end := begin(t, 33, 400, 40, "<rillflow><fleet><thrift>always</thrift></fleet></rillflow>")
+		cl.mu.Lock()
+		cl.few = map[string]int{"b": 2} // 16 cores
+		cl.mu.Unlock()
+		w.reboot(cs, func() {})
+		for i := range 12 { // 8 cores of each zone... 48 wanted of the small one
+			w.submit(ctx, wire.Job{Ref: fmt.Sprintf("req-%06d", i), Class: "s", Owner: "ab"[i%2 : i%2+1], Shape: wire.Standing, Rank: "production",
+				Members: 4, Cores: 2, RAM: 2, Bundle: "img", Scatter: true}, time.Duration(1+i)*time.Second, 0)
+		}
+		for i := range 10 {
+			w.submit(ctx, wire.Job{Ref: fmt.Sprintf("req-1%05d", i), Class: "c", Owner: "ab"[i%2 : i%2+1], Shape: wire.Batch, Rank: "urgent",
+				Members: 10, Cores: 4, RAM: 2, Bundle: "img", Loaners: true, ExpectS: 10}, time.Duration(5+12*i)*time.Second, 0)
+		}
+		time.Sleep(260 * time.Second)
+		w.mu.Lock()
+		inZone := map[string]int{}
+		for id, host := range w.where {
+			if w.jobs[id.Ref].Shape == wire.Standing {
+				inZone[w.workers[host].h.Locale]++
+			}
+		}
+		w.mu.Unlock()
+		cl.mu.Lock()
+		cores := map[string]int{}
+		for _, h := range cl.hosts {
+			cores[h.Locale] += 8
+		}
+		cl.mu.Unlock()
+		end()
+		for _, b := range w.breaches {
+			t.Error(b)
+		}
+		if inZone["a"] != 24 || inZone["b"] != 8 {
+			t.Errorf("%d replicas in the large zone, want all 24 that may be there; %d in the small one, want the 8 it holds", inZone["a"], inZone["b"])
+		}
+		// 48 cores of replicas, and what is spare for a while.
+		if cores["a"] > 96 {
+			t.Errorf("%d cores are kept in the large zone long after the arrays", cores["a"])
+		}
+		for ref, j := range w.jobs {
+			if j.Shape == wire.Batch && w.told[ref] != wire.Done {
+				t.Errorf("%s is %q", ref, w.told[ref])
+			}
+		}
+		t.Logf("replicas by zone %v, cores by zone %v", inZone, cores)
+	})
+}
