Of a job that is stored nowhere a new leader tells nothing until all machines were heard

Leadership changed much later; until those machines reported to the new leader, 1.4 s on, it had no trace of the job, and told that there was none.

--- a/internal/control/hold.go
+++ b/internal/control/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"rillflow/internal/agent"
@@ -15,10 +16,9 @@
 func (r *reign) heardAll(ctx context.Context) error {
 	for r.back.all {
 		r.mu.Lock()
-		since := r.now().Sub(r.began)
-		left := len(r.unheard())
+		heard := r.heardOf(r.now())
 		r.mu.Unlock()
-		if since > r.set.Lease()+r.set.Report() || left == 0 && since > max(settings.Seconds(2*r.set.Facts.Cloud.ListLagS), r.set.Report()) {
+		if heard {
 			return nil
 		}
 		if !sleep(ctx, r.set.Report()/4) {
@@ -28,6 +28,18 @@
 	return nil
 }
 
+// ErrUnheard: nothing is known of a job, but not all machines that may have its tasks were
+// heard in this term.
+var ErrUnheard = errors.New("control: not all machines were heard")
+
+// heardOf tells whether all machines that may have tasks were heard in this term, or their
+// leases are over: what only machines know is known by then.
+func (r *reign) heardOf(now time.Time) bool {
+	since := now.Sub(r.began)
+	return since > r.set.Lease()+r.set.Report() ||
+		since > max(settings.Seconds(2*r.set.Facts.Cloud.ListLagS), r.set.Report()) && len(r.unheard()) == 0
+}
+
 // open waits until everybody who might know of an earlier history was heard: all
 // machines that are up, or a lease. A worker that has seen an epoch ends it at once.
 func (r *reign) open(ctx context.Context) error {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -22,25 +22,30 @@
 type Counts struct{ Done, Running int }
 
 // Counts tells a live job's counts if this controller leads.
-func (c *Control) Counts(ref string) (Counts, bool) {
+//
+// ErrNotLeading: another may know. ErrUnheard: machines that were not heard yet may.
+func (c *Control) Counts(ref string) (n Counts, known bool, err error) {
 	r := c.cur.Load()
 	if r == nil {
-		return Counts{}, false
+		return Counts{}, false, ErrNotLeading
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	j := r.led.Job(ref)
 	if j == nil {
-		n, ok := r.traced(ref)
-		return Counts{Running: n}, ok
+		running, ok := r.traced(ref)
+		if !ok && r.term.History().Lost && !r.heardOf(r.now()) {
+			return Counts{}, false, ErrUnheard
+		}
+		return Counts{Running: running}, ok, nil
 	}
-	n := 0
 	for _, h := range r.led.HeldBy(j) {
 		if !h.Running.IsZero() && !h.Over {
-			n++
+			n.Running++
 		}
 	}
-	return Counts{Done: j.Done(), Running: n}, true
+	n.Done = j.Done()
+	return n, true, nil
 }
 
 // View is the operator's look at the leader.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -28,7 +28,7 @@
 	Beat(ctx context.Context, r *wire.Report) BeatAnswer
 	Pick(o placement.Offer) []placement.Picked
 	User(ctx context.Context, r UserRequest) UserAnswer
-	Counts(ref string) Counts
+	Counts(ref string) (Counts, error)
 	Hearing() Hearing
 	Version() string
 	History() History
@@ -240,7 +240,10 @@
 		a := m.h.User(ctx, r)
 		return a.encode(), nil
 	case kindCounts:
-		c := m.h.Counts(string(f.body))
+		c, err := m.h.Counts(string(f.body))
+		if err != nil {
+			return nil, err
+		}
 		return c.encode(), nil
 	}
 	switch f.kind {
--- a/internal/serve/front.go
+++ b/internal/serve/front.go
@@ -136,9 +136,9 @@
 // counts tells a live job's counts: the leader has them.
 func (d *daemon) counts(ctx context.Context, ref string) (done, running int, ok bool, err error) {
 	leader := d.el.Known().Leader
-	c, ok := d.control.Counts(ref)
+	c, ok, err := d.control.Counts(ref)
 	if ok || leader == d.set.Node {
-		return c.Done, c.Running, ok, nil
+		return c.Done, c.Running, ok, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, d.set.Report()/12)
 	defer cancel()
@@ -210,9 +210,9 @@
 
 func (d *daemon) Pick(o placement.Offer) []placement.Picked { return d.part.Choose(o) }
 
-func (d *daemon) Counts(ref string) peer.Counts {
-	c, ok := d.control.Counts(ref)
-	return peer.Counts{Known: ok, Done: c.Done, Running: c.Running}
+func (d *daemon) Counts(ref string) (peer.Counts, error) {
+	c, ok, err := d.control.Counts(ref)
+	return peer.Counts{Known: ok, Done: c.Done, Running: c.Running}, err
 }
 
 func (d *daemon) Hearing() peer.Hearing { return d.part.Hearing() }
