--- a/internal/sim/crashpoint_test.go
+++ b/internal/sim/crashpoint_test.go
@@ -76,7 +76,7 @@
 						d.crash(node, l.back)
 					}
 					kept := d.kept(before, 40*time.Second)
-					time.Sleep(150 * time.Second)
+					time.Sleep(175 * time.Second)
 					end()
 					for _, b := range d.w.breaches {
 						t.Errorf("write %d: %s", k, b)
