Mend: one way for a time to be lost, one glance for a request

Late replicas were a case of their own beside the one for all other times, with a time worked out that nothing read; a poll looked up what this node remembers of a job twice, and an end in it twice again. Change: replicas take the case that all times take, from when they wait; the look is made once a request and handed on.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -429,26 +429,25 @@
 func (r *reign) urgency(j *ledger.Job, now time.Time) urgency {
 	u := urgency{work: float64(j.Unfinished()) * max(j.Spec.Cores, 1) * max(j.Spec.ExpectS, 1)}
 	run := settings.Seconds(j.Spec.ExpectS)
-	margin := r.set.Lease() / 2
+	margin, standing := r.set.Lease()/2, j.Spec.Shape == wire.Standing
 	for k, o := range r.set.Facts.Objectives {
 		by := r.wanted(k, j)
 		start := by.Add(-time.Duration(longest * float64(run))) // at the latest
 		if o.Kind == "wait" && o.Class == j.Spec.Class {
-			by = j.ReadyAt.Add(settings.Seconds(o.WithinS)).Add(run)
+			from := j.ReadyAt
+			if standing {
+				from = j.WaitingSince // one that ran and was lost goes with the new ones
+			}
+			by = from.Add(settings.Seconds(o.WithinS)).Add(run)
 			start = by.Add(-run)
 		}
 		switch {
 		case by.IsZero():
-		case j.Spec.Shape == wire.Standing:
-			// Replicas that have waited for longer start late whenever they do. Where
-			// room of a kind is short for good they would keep all others waiting too.
-			// One that ran and was lost waits from then on, and goes with the new ones.
-			if now.After(j.WaitingSince.Add(settings.Seconds(o.WithinS))) {
-				u.stage++
-			}
 		case now.Add(run).After(by):
+			// Of replicas too: late, they start late whenever they do, and where room of a
+			// kind is short for good they would keep all others waiting as well.
 			u.stage++
-		case now.Add(margin).After(start):
+		case !standing && now.Add(margin).After(start):
 			u.last = true
 		}
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -311,7 +311,7 @@
 		var p known
 		before := u.glance(ref)
 		if err == nil {
-			p, err = u.read(ctx, ref)
+			p, err = u.read(ctx, ref, before)
 		}
 		if errors.Is(err, state.ErrNotFound) {
 			p, err = u.absent(ctx, ref, before)
@@ -325,8 +325,7 @@
 	}
 }
 
-func (u *Users) read(ctx context.Context, ref string) (known, error) {
-	before := u.glance(ref)
+func (u *Users) read(ctx context.Context, ref string, before glance) (known, error) {
 	it, err := u.st.Look(ctx, ledger.LiveKey(ref))
 	if err == nil {
 		if p, ok := u.returned(ref, before); ok {
@@ -452,7 +451,7 @@
 	before := u.glance(ref)
 	it, err := u.st.Get(ctx, ledger.LiveKey(ref))
 	if errors.Is(err, state.ErrNotFound) {
-		p, err := u.read(ctx, ref)
+		p, err := u.read(ctx, ref, before)
 		if errors.Is(err, state.ErrNotFound) {
 			return u.endLost(ctx, who, ref, fence, before)
 		}
--- a/internal/intake/past.go
+++ b/internal/intake/past.go
@@ -35,15 +35,15 @@
 	Young() bool
 }
 
-// glance is what this node remembered of a job before it asked the state service. Only what was
-// known by then can be contradicted by the answer: while it is on its way, and for long
-// where the state service answers slowly, the job may be accepted, or end, and this node
-// hear of that first.
+// glance is what this node remembered of a job before it asked the state service. Only
+// what was known by then can be contradicted by the answer: while it is on its way, and
+// for long where the state service answers slowly, the job may be accepted, or end, and
+// this node hear of that first.
 type glance struct{ known, ended bool }
 
 func (u *Users) glance(ref string) glance {
 	_, ended := u.copies.Get(ledger.EndedKey(ref))
-	return glance{known: ended || u.copies.Knows(ref), ended: ended}
+	return glance{known: u.copies.Knows(ref), ended: ended}
 }
 
 // sure tells whether a job that is not stored never was accepted, as far as can be
