A user is told of a withdrawal once all who may keep its tasks alive know

Cause: the state service refuses the leader alone, another controller confirms a withdrawal, and then it is down for all: the old leader answers its workers on and never hears of it. Nothing made sure that whoever may still renew a lease knows, or is out of time. Change: internal/withdrawn. A committed withdrawal goes to all controllers by a frame of its own (sent to 0.6 and later), and a user is told, by whatever answer, once all know or the leader at a time after the commit does. Whoever answers a worker stops its tasks; the leader takes it into its ledger. Machines that a withdrawn task would outlive its time on are returned also while the leader is not sure to lead: that can only end tasks. In an outage owners answer under the standing epoch also where the leader gave up or has not read its ledger yet; a process that has just begun does so only once it was told what the others know.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -31,21 +31,22 @@
 
 // Control serves terms, one at a time.
 type Control struct {
-	set    *settings.Settings
-	st     *state.Client
-	cloud  *fleet.Cloud
-	direct *agent.Direct
-	el     *lead.Elector
-	types  *fleet.Catalogue
-	parts  Parts
-	full   func() bool
-	ring   *keyring.Ring
-	hist   *history.Keeper
-	copies *copies.Copy
-	peers  copies.Peers
-	log    *slog.Logger
-	now    func() time.Time
-	cur    atomic.Pointer[reign]
+	set     *settings.Settings
+	st      *state.Client
+	cloud   *fleet.Cloud
+	direct  *agent.Direct
+	el      *lead.Elector
+	types   *fleet.Catalogue
+	parts   Parts
+	full    func() bool
+	ring    *keyring.Ring
+	hist    *history.Keeper
+	copies  *copies.Copy
+	peers   copies.Peers
+	notices func() []string // jobs that this node knows to be withdrawn
+	log     *slog.Logger
+	now     func() time.Time
+	cur     atomic.Pointer[reign]
 }
 
 // Parts are the owners among whom the hosts are parted, this node included.
@@ -89,13 +90,16 @@
 	History  *history.Keeper
 	Copies   *copies.Copy
 	Peers    copies.Peers
-	Log      *slog.Logger
+	// Withdrawn are jobs whose withdrawal was committed lately, from wherever this node
+	// knows it.
+	Withdrawn func() []string
+	Log       *slog.Logger
 }
 
 // New makes a Control.
 func New(d Deps) *Control {
 	return &Control{set: d.Settings, st: d.State, cloud: d.Cloud, direct: d.Direct, el: d.Elector, types: d.Types, parts: d.Parts, full: d.Full, ring: d.Ring,
-		hist: d.History, copies: d.Copies, peers: d.Peers, log: d.Log, now: time.Now}
+		hist: d.History, copies: d.Copies, peers: d.Peers, notices: d.Withdrawn, log: d.Log, now: time.Now}
 }
 
 // reign is the state of one term. Everything below mu is guarded by it.
--- /dev/null
+++ b/internal/control/heed.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"time"
+
+	"rillflow/internal/agent"
+	"rillflow/internal/audit"
+	"rillflow/internal/settings"
+)
+
+// Heed has the term take in the withdrawals that this node knows of, and tells whether it
+// leads and has: its machines are told at once, also while the state service, which would
+// tell it otherwise, refuses it.
+func (c *Control) Heed() bool {
+	r := c.cur.Load()
+	if r == nil {
+		return false
+	}
+	select {
+	case <-r.ready:
+	default:
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ctx.Err() != nil {
+		return false
+	}
+	r.heed()
+	return true
+}
+
+// heed takes in the withdrawals that this node knows of.
+func (r *reign) heed() {
+	for _, ref := range r.notices() {
+		// Of a job about to be done nothing is left to stop, and its last write fails.
+		if j := r.led.Job(ref); j != nil && !j.Finished {
+			r.withdraw(ref)
+		}
+	}
+}
+
+// outlives tells whether a withdrawn task might still be on a host when it must be gone.
+// The host may be behind a cut with a controller that knows of no withdrawal, or not hear
+// what it is told, or a launch of unknown fate may still be on its way to it: then only
+// the machine's return ends it for sure.
+func (r *reign) outlives(h *agent.Host, now time.Time) bool {
+	// The time of a withdrawal may be by another node's clock: both may be off.
+	grace := settings.Seconds(r.set.Facts.Workers.CancelS) - 2*r.set.Report() - 2*r.set.ClockError()
+	for _, c := range r.led.OnHost(h.Name) {
+		if c.Job.Withdrawn && !c.Over && now.Sub(c.Job.WithdrawnAt) > grace {
+			return true
+		}
+	}
+	return false
+}
+
+// overdue are the machines that a withdrawn task would outlive its time on, and those of
+// them whose return was not answered.
+func (r *reign) overdue(now time.Time) []string {
+	var out []string
+	for _, h := range r.sorted {
+		if !r.outlives(h, now) {
+			continue
+		}
+		if _, leaving := r.gone[h.Name]; !leaving {
+			r.log.Info("returning", "host", h.Name, "why", "withdrawn task")
+			r.rec.note(now, audit.Entry{Act: audit.Returned, On: h.Name, Why: "withdrawn task"})
+		}
+		out = append(out, h.Name)
+	}
+	return out
+}
--- a/internal/control/quiet.go
+++ b/internal/control/quiet.go
@@ -73,17 +73,3 @@
 func (r *reign) deserted(h *agent.Host, now time.Time) bool {
 	return !r.set.Covered(h.Zone) && r.quietFor(h, now) > r.leaseOver()
 }
-
-// outlives tells whether a withdrawn task on a silent host might still be there
-// when it must be gone. A controller behind the same cut may answer the worker all
-// the while, and knows of no withdrawal: then only the machine's return ends it.
-func (r *reign) outlives(h *agent.Host, now time.Time) bool {
-	// The time of a withdrawal may be by another node's clock: both may be off.
-	grace := settings.Seconds(r.set.Facts.Workers.CancelS) - 2*r.set.Report() - 2*r.set.ClockError()
-	for _, c := range r.led.OnHost(h.Name) {
-		if c.Job.Withdrawn && !c.Over && now.Sub(c.Job.WithdrawnAt) > grace {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -29,6 +29,7 @@
 		}
 		r.mu.Lock()
 		now := r.now()
+		r.heed()
 		r.expire(now)
 		r.evacuate(now)
 		deaf := r.deaf(now)
@@ -157,14 +158,20 @@
 }
 
 // reclaim returns faulty machines. It has a duty of its own: what ran on a dead
-// machine waits for its return, and renting can take many requests.
+// machine waits for its return, and renting can take many requests. Where this leader
+// may have been replaced it returns only what a withdrawn task would outlive its time on:
+// that ends tasks, and can start none.
 func (r *reign) reclaim(ctx context.Context) error {
 	for sleep(ctx, r.set.Report()/6) {
-		if !r.term.Sure(r.now()) {
-			continue
-		}
 		r.mu.Lock()
-		bad := r.faulty(r.now())
+		now := r.now()
+		sure := r.term.Sure(now)
+		var bad []string
+		if sure {
+			bad = r.faulty(now)
+		} else {
+			bad = r.overdue(now)
+		}
 		bad = bad[:min(len(bad), maxRelease)]
 		for _, name := range bad {
 			if r.gone[name].IsZero() {
@@ -172,7 +179,7 @@
 			}
 		}
 		r.mu.Unlock()
-		if len(bad) > 0 && r.term.Sure(r.now()) {
+		if len(bad) > 0 && (!sure || r.term.Sure(r.now())) {
 			r.release(ctx, bad)
 		}
 	}
@@ -410,11 +417,10 @@
 			why = "again" // its release was not answered
 		case listed && l.Phase == wire.HostFailed:
 			why = "failed"
+		case r.outlives(h, now):
+			why = "withdrawn task"
 		case r.cutOff(h, now):
-			switch {
-			case r.outlives(h, now):
-				why = "withdrawn task"
-			case len(claims) > 0 && r.deserted(h, now):
+			if len(claims) > 0 && r.deserted(h, now) {
 				why = "lease over"
 			}
 		case (!h.Heard.IsZero() || !h.Running.IsZero()) && r.quietFor(h, now) > silence,
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -44,12 +44,19 @@
 	batch  *memory // jobs seen accepted that are no services
 	past   Past
 	copies *copies.Copy
+	herald Herald
+}
+
+// Herald has a committed withdrawal known to whoever must know before a user is told.
+type Herald interface {
+	Tell(ctx context.Context, ref string) error
 }
 
 // known is what is told of a job, with whose it is where identities are on.
 type known struct {
 	wire.Phase
-	owner string
+	owner  string
+	herald bool // of a withdrawn job: a user may be told
 }
 
 // Counts tells a job's counts, if the leader knows it; an error if it cannot be asked.
@@ -59,8 +66,8 @@
 // whether the state service has not answered for long; full whether memory is
 // short; door who may do what; past whether data may have been lost, and kept what this
 // node remembers of it.
-func New(set *settings.Settings, st *state.Client, types *fleet.Catalogue, counts Counts, down, full func() bool, door *access.Door, past Past, kept *copies.Copy, now func() time.Time, log *slog.Logger) *Users {
-	return &Users{set: set, st: st, types: types, counts: counts, down: down, full: full, door: door, past: past, copies: kept, log: log, now: now, ended: newMemory(4096), batch: newMemory(4096)}
+func New(set *settings.Settings, st *state.Client, types *fleet.Catalogue, counts Counts, down, full func() bool, door *access.Door, past Past, kept *copies.Copy, herald Herald, now func() time.Time, log *slog.Logger) *Users {
+	return &Users{set: set, st: st, types: types, counts: counts, down: down, full: full, door: door, past: past, copies: kept, herald: herald, log: log, now: now, ended: newMemory(4096), batch: newMemory(4096)}
 }
 
 // again tells whether to ask the state service once more after an error. What
@@ -138,7 +145,7 @@
 	}
 	p, ok := u.final(ref)
 	if ok {
-		u.tell(w, who, p)
+		u.tell(ctx, w, who, p)
 		return
 	}
 	if u.full() {
@@ -177,7 +184,7 @@
 		busy(w, "state service")
 		return
 	}
-	u.tell(w, who, p)
+	u.tell(ctx, w, who, p)
 }
 
 // who finds out who makes a request, or answers it.
@@ -201,11 +208,26 @@
 }
 
 // tell answers with a job's state, if the caller may know it.
-func (u *Users) tell(w http.ResponseWriter, who identity.Caller, p known) {
+func (u *Users) tell(ctx context.Context, w http.ResponseWriter, who identity.Caller, p known) {
 	if dec := u.door.Judge(who, rights.Request{Do: rights.Read, Owner: p.owner}, p.Ref, ""); !dec.Allowed {
 		reply(w, http.StatusForbidden, wire.Error{Error: dec.Rule})
 		return
 	}
+	u.say(ctx, w, p)
+}
+
+// say answers with a job's state. That it is withdrawn is a promise about its tasks, so
+// it is said only once those know that must keep it; until then the user comes back.
+func (u *Users) say(ctx context.Context, w http.ResponseWriter, p known) {
+	if p.Phase.Phase == wire.Withdrawn && !p.herald {
+		if err := u.herald.Tell(ctx, p.Ref); err != nil {
+			u.log.Info("withdrawn, and not told yet", "job", p.Ref, "err", err)
+			busy(w, "withdrawn, to be known to all controllers")
+			return
+		}
+		p.herald = true
+		u.ended.put(p.Ref, p)
+	}
 	reply(w, http.StatusOK, p.Phase)
 }
 
@@ -215,7 +237,7 @@
 	if ref != "" {
 		p, err := u.lookup(ctx, ref)
 		if err == nil {
-			u.tell(w, who, p)
+			u.tell(ctx, w, who, p)
 			return
 		}
 		if !errors.Is(err, state.ErrNotFound) {
@@ -368,10 +390,13 @@
 
 func (u *Users) remember(ref string, e ledger.Ending) known {
 	zero := 0
-	p := known{wire.Phase{Ref: ref, Phase: e.Phase, Running: &zero}, e.Owner}
+	p := known{Phase: wire.Phase{Ref: ref, Phase: e.Phase, Running: &zero}, owner: e.Owner}
 	if e.Phase == wire.Done {
 		p.Done = &e.Tasks
 	}
+	if had, ok := u.ended.get(ref); ok {
+		p.herald = had.herald
+	}
 	u.ended.put(ref, p)
 	return p
 }
@@ -391,7 +416,7 @@
 	p, err := u.lookup(ctx, ref)
 	switch {
 	case err == nil:
-		u.tell(w, who, p)
+		u.tell(ctx, w, who, p)
 	case errors.Is(err, state.ErrNotFound):
 		reply(w, http.StatusNotFound, wire.Error{Error: "no such job"})
 	default:
@@ -415,7 +440,7 @@
 		p, err := u.end(ctx, who, ref)
 		switch {
 		case err == nil:
-			reply(w, http.StatusOK, p.Phase)
+			u.say(ctx, w, p)
 			return
 		case errors.Is(err, errDenied):
 			reply(w, http.StatusForbidden, wire.Error{Error: err.Error()})
--- a/internal/intake/needs_test.go
+++ b/internal/intake/needs_test.go
@@ -98,6 +98,17 @@
 func (p *past) Young() bool                                 { return false }
 func (p *past) Fed() bool                                   { return p.fed }
 
+// herald stands in for those who must know of a withdrawal before a user does.
+type herald struct {
+	err  error
+	told []string
+}
+
+func (h *herald) Tell(_ context.Context, ref string) error {
+	h.told = append(h.told, ref)
+	return h.err
+}
+
 func users(t *testing.T, k *keys) (*Users, *http.ServeMux) {
 	srv := httptest.NewServer(k)
 	t.Cleanup(srv.Close)
@@ -109,7 +120,7 @@
 	st := state.New(state.Options{Addr: strings.TrimPrefix(srv.URL, "http://"), RPS: 1e4, Limits: state.Limits{WriteRPS: 1e4}, Timeout: 5 * time.Second, Dial: d.DialContext})
 	types := fleet.NewCatalogue(nil, time.Minute, nil)
 	types.Set([]wire.MachineType{{Label: "g8", Cores: 96, Accel: 8, RAM: 768, Locales: []string{"a"}}})
-	u := New(set, st, types, func(context.Context, string) (int, int, bool, error) { return 0, 0, false, nil }, func() bool { return false }, func() bool { return false }, access.New(set, st, nil, slog.New(slog.DiscardHandler)), &past{phase: history.Whole, fed: true}, copies.New(1<<20, nil), time.Now, slog.New(slog.DiscardHandler))
+	u := New(set, st, types, func(context.Context, string) (int, int, bool, error) { return 0, 0, false, nil }, func() bool { return false }, func() bool { return false }, access.New(set, st, nil, slog.New(slog.DiscardHandler)), &past{phase: history.Whole, fed: true}, copies.New(1<<20, nil), &herald{}, time.Now, slog.New(slog.DiscardHandler))
 	mux := http.NewServeMux()
 	u.Routes(mux)
 	return u, mux
--- /dev/null
+++ b/internal/intake/told_test.go
@@ -0,0 +1,52 @@
+package intake
+
+import (
+	"errors"
+	"net/http/httptest"
+	"testing"
+
+	"rillflow/internal/wire"
+)
+
+// That a job is withdrawn is told, in whatever answer, only once those know who may keep
+// its tasks alive; what was told once is told again from memory.
+func TestWithdrawnIsTold(t *testing.T) {
+	k := &keys{m: map[string]string{}}
+	u, mux := users(t, k)
+	h := &herald{err: errors.New("the leader does not know")}
+	u.herald = h
+	if rec := submit(mux, "req-1", nil, "", ""); rec.Code != 201 {
+		t.Fatalf("submitted: %d", rec.Code)
+	}
+	ask := map[string]func() int{
+		"withdraw": func() int {
+			rec := httptest.NewRecorder()
+			mux.ServeHTTP(rec, httptest.NewRequest("POST", "/v1/jobs/req-1/withdraw", nil))
+			return rec.Code
+		},
+		"poll": func() int {
+			rec := httptest.NewRecorder()
+			mux.ServeHTTP(rec, httptest.NewRequest("GET", "/v1/jobs/req-1", nil))
+			return rec.Code
+		},
+		"submit": func() int { return submit(mux, "req-1", nil, "", "").Code },
+	}
+	for _, how := range []string{"withdraw", "withdraw", "poll", "submit"} {
+		if code := ask[how](); code != 503 {
+			t.Errorf("%s while the leader does not know: %d", how, code)
+		}
+	}
+	h.err = nil
+	if code := ask["poll"](); code != 200 {
+		t.Errorf("once it knows: %d", code)
+	}
+	h.err, h.told = errors.New("asked again"), nil
+	for how, f := range ask {
+		if code := f(); code != 200 || len(h.told) > 0 {
+			t.Errorf("%s once it was told: %d, %v", how, code, h.told)
+		}
+	}
+	if p, ok := u.ended.get("req-1"); !ok || p.Phase.Phase != wire.Withdrawn {
+		t.Errorf("%+v", p)
+	}
+}
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -17,6 +17,7 @@
 	"rillflow/internal/placement"
 	"rillflow/internal/settings"
 	"rillflow/internal/wire"
+	"rillflow/internal/withdrawn"
 )
 
 // Leader is the leader's side, on this node while it leads.
@@ -37,6 +38,7 @@
 	known func() lead.Map
 	links Links
 	stale func() time.Duration // since the state service answered here
+	gone  *withdrawn.Notices
 	now   func() time.Time
 	tune  placement.Tuning
 
@@ -48,11 +50,11 @@
 }
 
 // New makes the part. known tells the latest part map, stale since when the
-// state service has not answered.
-func New(set *settings.Settings, known func() lead.Map, stale func() time.Duration, now func() time.Time) *Part {
+// state service has not answered, gone what is withdrawn.
+func New(set *settings.Settings, known func() lead.Map, stale func() time.Duration, gone *withdrawn.Notices, now func() time.Time) *Part {
 	op := set.Operator.Placement
 	return &Part{
-		set: set, known: known, stale: stale, now: now,
+		set: set, known: known, stale: stale, gone: gone, now: now,
 		tune: placement.Tuning{
 			Aged:    time.Duration(op.WaitAge * float64(set.Lease())),
 			NearTie: op.NearTie,
@@ -74,8 +76,17 @@
 
 func (e ErrNotOwner) Error() string { return "part: not the owner; steward " + e.Steward }
 
-// Beat answers a worker's report.
+// Beat answers a worker's report. Whoever answers, tasks that this node knows to be
+// withdrawn are stopped: a leader that the state service refuses may not know.
 func (p *Part) Beat(ctx context.Context, r *wire.Report, leader Leader) (wire.Orders, error) {
+	out, err := p.answer(ctx, r, leader)
+	if err == nil {
+		out.Orders = p.gone.Stops(r, out.Orders)
+	}
+	return out, err
+}
+
+func (p *Part) answer(ctx context.Context, r *wire.Report, leader Leader) (wire.Orders, error) {
 	m := p.known()
 	if r.Epoch > m.Epoch {
 		// The worker knows more than this node: an answer would be dropped
@@ -85,34 +96,46 @@
 	if owner := m.Owner(r.Host); owner != p.set.Node && !p.standsIn(m, owner, r.Locale) {
 		return wire.Orders{}, ErrNotOwner{owner}
 	}
+	asked := false // the leader answered
 	if m.Leader == p.set.Node {
 		out, _, err := leader.Beat(ctx, r)
-		if err != nil {
-			return wire.Orders{}, ErrNotOwner{}
+		if err == nil {
+			return out, nil
 		}
-		return out, nil
-	}
-	actx, cancel := context.WithTimeout(ctx, p.set.Report()/3)
-	defer cancel()
-	a, err := p.links.Beat(actx, m.Leader, r)
-	if err == nil && a.OK {
-		for _, f := range a.Learned {
-			p.Learn(f)
+		asked = true
+	} else {
+		actx, cancel := context.WithTimeout(ctx, p.set.Report()/3)
+		defer cancel()
+		a, err := p.links.Beat(actx, m.Leader, r)
+		if err == nil && a.OK {
+			for _, f := range a.Learned {
+				p.Learn(f)
+			}
+			return a.Orders, nil
 		}
-		return a.Orders, nil
+		asked = err == nil
 	}
-	if err == nil || ctx.Err() != nil {
+	// The leader cannot be asked, or it gave the lead up, or has not read its ledger,
+	// and the state service refuses all, so that nobody can do so before that is over.
+	// The worker's tasks run on, under the epoch that stands: a leader that could hear
+	// this host has the map without this node, and its epoch shows in the worker's next
+	// report. But for a node that has forgotten what users were told.
+	if ctx.Err() != nil || asked && !p.outage() || p.Refused() && !p.gone.Settled() {
 		return wire.Orders{}, ErrNotOwner{}
 	}
-	// The leader cannot be asked. The worker's tasks run on, under the epoch
-	// that stands: a leader that could hear this host has the map without
-	// this node, and its epoch shows in the worker's next report.
 	if now := p.known(); now.Epoch != m.Epoch {
 		return wire.Orders{}, ErrNotOwner{now.Owner(r.Host)}
 	}
 	return wire.Orders{Epoch: m.Epoch, Orders: []wire.Order{}}, nil
 }
 
+// outage tells whether the state service refuses all controllers, as far as this one
+// can know.
+func (p *Part) outage() bool {
+	_, alone := p.Alone()
+	return p.Refused() && !alone
+}
+
 // standsIn tells whether this node answers a host of its own zone in place of its
 // owner: the state service refuses this node, so that no new map can reach it, and
 // the owner is out of reach. The host's tasks then run on for as long as the zone
--- a/internal/part/part_test.go
+++ b/internal/part/part_test.go
@@ -13,6 +13,7 @@
 	"rillflow/internal/placement"
 	"rillflow/internal/settings"
 	"rillflow/internal/wire"
+	"rillflow/internal/withdrawn"
 )
 
 var now = time.Unix(500, 0)
@@ -50,7 +51,8 @@
 		t.Fatal(err)
 	}
 	set := &settings.Settings{Node: "me", Operator: op, Facts: settings.Facts{Workers: settings.Workers{ReportS: 4, LeaseS: 40}}}
-	p := New(set, func() lead.Map { return m }, func() time.Duration { return stale }, func() time.Time { return now })
+	gone := withdrawn.New(withdrawn.Options{Within: time.Minute, Max: 8, Refused: func() bool { return false }, Now: func() time.Time { return now }})
+	p := New(set, func() lead.Map { return m }, func() time.Duration { return stale }, gone, func() time.Time { return now })
 	p.Link(l)
 	return p
 }
@@ -91,6 +93,45 @@
 	}
 }
 
+// In an outage of the state service tasks run on though nobody can lead; but a node that
+// forgot what users were told of, or is refused alone, answers nothing by itself.
+func TestBeatInOutage(t *testing.T) {
+	no, yes := errors.New("no"), peer.Status{Live: true}
+	served := map[string]peer.Status{"boss": {Live: true, Ping: peer.Ping{StateAge: 0}}}
+	yes.StateAge = time.Minute
+	down := map[string]peer.Status{"boss": yes}
+	for _, tc := range []struct {
+		name    string
+		leader  string
+		settled bool
+		links   links
+		epoch   uint64
+	}{
+		{"the leader gave up", "boss", true, links{peers: down}, 7},
+		{"this node led, and gave up", "me", true, links{peers: down}, 7},
+		{"the leader is out of reach", "boss", true, links{err: peer.ErrDown}, 7},
+		{"refused alone", "boss", true, links{peers: served}, 0},
+		{"refused alone, and led", "me", true, links{peers: served}, 0},
+		{"just begun, the leader gave up", "boss", false, links{peers: down}, 0},
+		{"just begun, the leader is out of reach", "boss", false, links{err: peer.ErrDown}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := part(t, lead.Map{Epoch: 7, Leader: tc.leader, Parts: []string{"me"}}, time.Minute, &tc.links)
+			if tc.settled {
+				p.gone.Inherit()
+			}
+			p.gone.Add("", "req-1")
+			out, err := p.Beat(t.Context(), &wire.Report{Host: "i-1", Epoch: 7, Members: []wire.Member{{Member: "req-1/0", Try: 2, Phase: wire.Running}, {Member: "req-2/0", Try: 1, Phase: wire.Running}}}, leader{no})
+			if out.Epoch != tc.epoch || (err == nil) != (tc.epoch > 0) {
+				t.Fatalf("epoch %d, %v", out.Epoch, err)
+			}
+			if want := []wire.Order{{Verb: wire.Stop, Member: "req-1/0", Try: 2}}; err == nil && !slices.Equal(out.Orders, want) {
+				t.Errorf("orders %v, want %v", out.Orders, want)
+			}
+		})
+	}
+}
+
 // One node refused by the state service hands over; all refused sit it out.
 func TestRefusals(t *testing.T) {
 	status := func(age, since time.Duration, live bool) peer.Status {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -45,6 +45,9 @@
 	kindHistory // how a node takes the state service's history, and the peer in answer
 	kindCopy    // the leader's copy of what is stored, or changes of it
 	kindRecall  // asks for a page of what the peer remembers
+
+	// Sent only to peers that are known to be of 0.6 or later.
+	kindWithdrawn // withdrawals that users are told of, and the peer's in answer
 )
 
 // ErrFormat says that a frame breaks the format.
--- a/internal/peer/compat_test.go
+++ b/internal/peer/compat_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -18,6 +19,7 @@
 	"rillflow/internal/placement"
 	"rillflow/internal/settings"
 	"rillflow/internal/wire"
+	"rillflow/internal/withdrawn"
 )
 
 // testdata/production holds frames as version 0.1 sends them. Its decoder takes
@@ -86,6 +88,9 @@
 func (n *node) Remembers(string, History)                     { n.told.Store(true) }
 func (n *node) Copy(*copies.Push) copies.Ack                  { return copies.Ack{} }
 func (n *node) Recall(copies.Ask) copies.Page                 { return copies.Page{} }
+func (n *node) Withdrawn(*withdrawn.Note) withdrawn.Ack       { return withdrawn.Ack{Taken: true} }
+func (n *node) Reached(context.Context, string)               {}
+func (n *node) Linked(context.Context, string)                {}
 
 func refuse(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
 
@@ -108,7 +113,8 @@
 		known   bool
 		tokens  bool
 		copies  bool
-	}{{"0.2.0", false, false, false}, {"0.3.0", true, false, false}, {"0.4.0", true, true, false}, {"0.5.0", true, true, true}, {"0.10.1", true, true, true}, {"odd", false, false, false}} {
+		notes   bool
+	}{{"0.2.0", false, false, false, false}, {"0.3.0", true, false, false, false}, {"0.4.0", true, true, false, false}, {"0.5.0", true, true, true, false}, {"0.6.0", true, true, true, true}, {"0.10.1", true, true, true, true}, {"odd", false, false, false, false}} {
 		t.Run(tc.version, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(context.Background())
@@ -140,8 +146,16 @@
 				if (err == nil) != tc.copies || (err2 == nil) != tc.copies || (len(m.Followers()) == 1) != tc.copies || h.told.Load() != tc.copies {
 					t.Errorf("a copy: %v, %v; followers %v, told of the history: %v", err, err2, m.Followers(), h.told.Load())
 				}
+				// Notes of withdrawals go to those that know of them; of the others it is known
+				// that they do not, which is not the same as not reaching them.
+				if a, err := m.Note(ctx, "n", &withdrawn.Note{Refs: []string{"req-1"}}); a.Taken != tc.notes || errors.Is(err, withdrawn.ErrOld) == tc.notes {
+					t.Errorf("a note: %+v, %v", a, err)
+				}
 				cancel()
 				<-done
+				if _, err := m.Note(context.Background(), "n", &withdrawn.Note{}); !errors.Is(err, ErrDown) {
+					t.Errorf("a note without a link: %v", err)
+				}
 			})
 		})
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -19,6 +19,7 @@
 	"rillflow/internal/settings"
 	"rillflow/internal/state"
 	"rillflow/internal/wire"
+	"rillflow/internal/withdrawn"
 )
 
 // Handler serves what peers ask.
@@ -35,6 +36,12 @@
 	Remembers(node string, h History)
 	Copy(p *copies.Push) copies.Ack
 	Recall(a copies.Ask) copies.Page
+	// Withdrawn takes a peer's note in. Reached is run on each new connection to a peer
+	// ahead of anything else, and Linked after each round of pings: both see to it that
+	// it knows of withdrawals.
+	Withdrawn(n *withdrawn.Note) withdrawn.Ack
+	Reached(ctx context.Context, node string)
+	Linked(ctx context.Context, node string)
 }
 
 // Errors of a request to a peer.
@@ -276,6 +283,13 @@
 		}
 		p := m.h.Recall(a)
 		return p.Encode(), nil
+	case kindWithdrawn:
+		n, err := withdrawn.DecodeNote(f.body)
+		if err != nil {
+			return nil, err
+		}
+		a := m.h.Withdrawn(&n)
+		return a.Encode(), nil
 	case kindVersion:
 		return []byte(m.h.Version()), nil
 	case kindHearing:
@@ -316,6 +330,7 @@
 	pending map[uint64]chan frame
 	last    Ping
 	version string
+	greeted bool // version is settled for this connection
 	hearing Hearing
 	heard   bool      // hearing is of this connection
 	at      time.Time // of the last answered ping
@@ -373,7 +388,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.version = string(b[:min(len(b), maxVersion)])
-	return err == nil || errors.Is(err, ErrRefused)
+	l.greeted = err == nil || errors.Is(err, ErrRefused)
+	return l.greeted
 }
 
 // The first versions that tell how they hear workers, and that know tokens.
@@ -381,8 +397,32 @@
 	hears       = "v0.3.0"
 	knowsTokens = "v0.4.0"
 	remembers   = "v0.5.0"
+	withdraws   = "v0.6.0"
 )
 
+// Note tells a peer of withdrawals.
+func (m *Mesh) Note(ctx context.Context, node string, n *withdrawn.Note) (withdrawn.Ack, error) {
+	l := m.links[node]
+	if l == nil || !l.settled() {
+		return withdrawn.Ack{}, fmt.Errorf("%w: %q", ErrDown, node)
+	}
+	if !l.reached(withdraws) {
+		return withdrawn.Ack{}, withdrawn.ErrOld
+	}
+	b, err := l.prompt(ctx, kindWithdrawn, n.Encode())
+	if err != nil {
+		return withdrawn.Ack{}, err
+	}
+	return withdrawn.DecodeAck(b)
+}
+
+// settled tells whether the peer's version is known, or known to be too old to tell.
+func (l *Link) settled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.greeted
+}
+
 // Followers are the live peers that can be sent a copy of what is stored.
 func (m *Mesh) Followers() []string {
 	var out []string
@@ -466,7 +506,12 @@
 
 // ping asks the peer how it stands until an answer fails to come.
 func (l *Link) ping(ctx context.Context, h Handler) {
-	greeted := false
+	greeted := l.greet(ctx, h)
+	if greeted {
+		// Ahead of the pings, which bring the peer who acts: a process that has just
+		// begun answers workers once it knows that.
+		h.Reached(ctx, l.node)
+	}
 	for ctx.Err() == nil {
 		own := h.Ping()
 		b, err := l.prompt(ctx, kindPing, own.encode())
@@ -486,10 +531,13 @@
 		l.mu.Unlock()
 		h.Pinged(p)
 		if !greeted {
-			greeted = l.greet(ctx, h)
+			if greeted = l.greet(ctx, h); greeted {
+				h.Reached(ctx, l.node)
+			}
 		}
 		l.listen(ctx, h)
 		l.compare(ctx, h)
+		h.Linked(ctx, l.node)
 		t := time.NewTimer(l.every)
 		select {
 		case <-ctx.Done():
@@ -520,7 +568,7 @@
 func (l *Link) drop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conn, l.version = nil, ""
+	l.conn, l.version, l.greeted = nil, "", false
 	l.hearing, l.heard = Hearing{}, false
 	for id, ch := range l.pending {
 		delete(l.pending, id)
--- a/internal/serve/front.go
+++ b/internal/serve/front.go
@@ -23,6 +23,7 @@
 	"rillflow/internal/rights"
 	"rillflow/internal/state"
 	"rillflow/internal/wire"
+	"rillflow/internal/withdrawn"
 )
 
 // routes are all requests at the front address.
@@ -192,6 +193,35 @@
 
 func (d *daemon) Recall(a copies.Ask) copies.Page { return d.copies.Page(a) }
 
+// Withdrawn, Reached and Linked have withdrawals known to all controllers.
+
+func (d *daemon) Withdrawn(n *withdrawn.Note) withdrawn.Ack {
+	return d.gone.Take(n, d.control.Heed)
+}
+
+func (d *daemon) Reached(ctx context.Context, node string) {
+	d.gone.Begins(node)
+	refs := d.gone.All()
+	a, err := d.mesh.Note(ctx, node, &withdrawn.Note{From: d.set.Node, Refs: refs, All: true, Settled: d.gone.Settled()})
+	if err != nil || !a.Taken {
+		return // Linked goes on
+	}
+	d.gone.Knows(node, refs)
+	if d.gone.Add(node, a.Refs...) && a.Settled {
+		d.gone.Inherit()
+	}
+}
+
+func (d *daemon) Linked(ctx context.Context, node string) {
+	refs := d.gone.Unknown(node)
+	if len(refs) == 0 {
+		return
+	}
+	if a, err := d.mesh.Note(ctx, node, &withdrawn.Note{From: d.set.Node, Refs: refs}); err == nil && a.Taken {
+		d.gone.Knows(node, refs)
+	}
+}
+
 // Ping, Pinged, Beat, Pick, User and Counts are what peers ask of this node.
 
 func (d *daemon) Ping() peer.Ping {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -31,10 +31,11 @@
 	"rillflow/internal/settings"
 	"rillflow/internal/snapshot"
 	"rillflow/internal/state"
+	"rillflow/internal/withdrawn"
 )
 
 // Version is the program's version.
-const Version = "0.5.0"
+const Version = "0.6.0"
 
 // daemon is a running controller.
 type daemon struct {
@@ -49,6 +50,8 @@
 	door    *access.Door
 	hist    *history.Keeper
 	copies  *copies.Copy
+	gone    *withdrawn.Notices
+	teller  *withdrawn.Teller
 	crowd   *crowd
 	asks    chan uint64 // epochs that workers show and nobody knows
 	log     *slog.Logger
@@ -95,7 +98,12 @@
 		State: d.st, Node: set.Node, Life: time.Duration(op.Lead.Grant * float64(set.Lease())), Parts: func() []string { return d.part.Fit(nil) },
 		History: d.hist, Knows: func() bool { return !d.copies.Empty() }, Log: log,
 	})
-	d.part = part.New(set, d.el.Known, d.st.SinceOK, time.Now)
+	within := settings.Seconds(facts.Workers.CancelS)
+	d.gone = withdrawn.New(withdrawn.Options{
+		Within: within, Max: withdrawn.Capacity(facts.State.WriteRPS, within), Peers: set.Others(),
+		Refused: func() bool { return d.part.Refused() }, Now: time.Now,
+	})
+	d.part = part.New(set, d.el.Known, d.st.SinceOK, d.gone, time.Now)
 	var tls *certs.Keeper
 	if op.TLS.On() {
 		var err error
@@ -105,6 +113,10 @@
 	}
 	d.mesh = peer.NewMesh(set.Members, d, set.Report()/6, int(op.Limits.Sockets*float64(facts.Resources.Sockets)/2), dial(set, tls, nw.Dial), log)
 	d.part.Link(d.mesh)
+	d.teller = &withdrawn.Teller{Node: set.Node, Notices: d.gone, Link: d.mesh, Leads: func() bool { return d.control.Heed() }, Leader: func(ctx context.Context) (string, error) {
+		_, err := d.el.Stored(ctx)
+		return d.el.Known().Leader, err
+	}}
 	var ring *keyring.Ring
 	if a := &op.Access; a.Identified() || a.Audited() {
 		var err error
@@ -119,10 +131,10 @@
 	}
 	d.control = control.New(control.Deps{
 		Settings: set, State: d.st, Cloud: cloud, Direct: agent.NewDirect(set.Report(), int(idleWorkers*float64(facts.Resources.Sockets)), nw.Dial), Elector: d.el,
-		Types: types, Parts: d.part, Full: d.memory.High, Ring: kept, History: d.hist, Copies: d.copies, Peers: d.mesh, Log: log,
+		Types: types, Parts: d.part, Full: d.memory.High, Ring: kept, History: d.hist, Copies: d.copies, Peers: d.mesh, Withdrawn: d.gone.All, Log: log,
 	})
 	mux := http.NewServeMux()
-	intake.New(set, d.st, types, d.counts, d.part.Refused, d.memory.High, d.door, d, d.copies, day, log).Routes(mux)
+	intake.New(set, d.st, types, d.counts, d.part.Refused, d.memory.High, d.door, d, d.copies, d.teller, day, log).Routes(mux)
 	d.users = mux
 
 	front, err := nw.Listen(set.Front)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -232,6 +232,15 @@
 	return Team{}, false
 }
 
+// Others are the other controllers, by name.
+func (s *Settings) Others() []string {
+	var out []string
+	for _, m := range s.Members {
+		out = append(out, m.Node)
+	}
+	return out
+}
+
 // Near tells whether any other controller of those named is in a zone.
 func (s *Settings) Near(zone string, nodes []string) bool {
 	return slices.ContainsFunc(s.Members, func(m Member) bool { return m.Zone == zone && slices.Contains(nodes, m.Node) })
--- /dev/null
+++ b/internal/withdrawn/tell.go
@@ -0,0 +1,141 @@
+package withdrawn
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"rillflow/internal/codec"
+)
+
+// Note tells a peer of withdrawals.
+type Note struct {
+	From    string
+	Refs    []string
+	All     bool // these are all that the sender knows, and it asks for all the peer does
+	Settled bool // the sender knows all that matter
+}
+
+// Encode gives the note's binary form.
+func (n *Note) Encode() []byte {
+	var e codec.Encoder
+	e.Str(n.From)
+	e.Strs(n.Refs)
+	e.Bool(n.All)
+	e.Bool(n.Settled)
+	return e.B
+}
+
+// DecodeNote reads a note.
+func DecodeNote(b []byte) (n Note, err error) {
+	d := codec.Decoder{B: b}
+	n = Note{From: d.Str(), Refs: d.Strs(), All: d.Bool(), Settled: d.Bool()}
+	return n, d.Done()
+}
+
+// Ack answers a note.
+type Ack struct {
+	Taken   bool // the peer knows now; false: it has no room
+	Leads   bool // and sees to it, as the leader, that the tasks are gone
+	Settled bool // the peer knows all that matter
+	Refs    []string
+}
+
+// Encode gives the answer's binary form.
+func (a *Ack) Encode() []byte {
+	var e codec.Encoder
+	e.Bool(a.Taken)
+	e.Bool(a.Leads)
+	e.Bool(a.Settled)
+	e.Strs(a.Refs)
+	return e.B
+}
+
+// DecodeAck reads an answer.
+func DecodeAck(b []byte) (a Ack, err error) {
+	d := codec.Decoder{B: b}
+	a = Ack{Taken: d.Bool(), Leads: d.Bool(), Settled: d.Bool(), Refs: d.Strs()}
+	return a, d.Done()
+}
+
+// Take takes in a peer's note. leads tells whether this node leads, once it knows of the
+// jobs.
+func (n *Notices) Take(t *Note, leads func() bool) Ack {
+	a := Ack{Taken: n.Add(t.From, t.Refs...)}
+	if !a.Taken {
+		return a
+	}
+	a.Leads = leads()
+	if t.All {
+		if t.Settled {
+			n.Inherit()
+		}
+		a.Settled, a.Refs = n.Settled(), n.All()
+	}
+	return a
+}
+
+// Link is the way to the other controllers.
+type Link interface {
+	// Note tells a peer. ErrOld: it is too old to be told.
+	Note(ctx context.Context, peer string, n *Note) (Ack, error)
+}
+
+// Errors of telling.
+var (
+	// ErrOld: the peer's version knows of no notices, and is served as before them.
+	ErrOld = errors.New("withdrawn: the peer knows no notices")
+	// ErrUntold: a controller that may still answer workers does not know.
+	ErrUntold = errors.New("withdrawn: not known to all that may keep its tasks")
+)
+
+// Teller sees to it that a withdrawal is known to whoever must know before a user is told.
+type Teller struct {
+	Node    string
+	Notices *Notices
+	Link    Link
+	// Leads tells whether this node leads, its ledger read and the notices in it.
+	Leads func() bool
+	// Leader reads from the state service who leads now.
+	Leader func(ctx context.Context) (string, error)
+}
+
+// Tell has a committed withdrawal known. A nil error means that a user may be told: all
+// controllers know, or the one that leads does. That one must be the leader at some time
+// after the commit, hence the read: whoever leads later finds the withdrawal when it
+// reads what is stored. It sees to machines whose answers do not reach them.
+func (t *Teller) Tell(ctx context.Context, ref string) error {
+	if !t.Notices.Add("", ref) {
+		return fmt.Errorf("%w: no room", ErrUntold)
+	}
+	leads := t.Leads()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	all, led := true, map[string]bool{t.Node: leads}
+	for _, p := range t.Notices.opt.Peers {
+		wg.Go(func() {
+			a, err := t.Link.Note(ctx, p, &Note{From: t.Node, Refs: []string{ref}})
+			if err == nil && a.Taken {
+				t.Notices.Knows(p, []string{ref})
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			old := errors.Is(err, ErrOld)
+			all = all && (old || err == nil && a.Taken)
+			led[p] = old || err == nil && a.Taken && a.Leads
+		})
+	}
+	wg.Wait()
+	if all {
+		return nil
+	}
+	leader, err := t.Leader(ctx)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUntold, err)
+	}
+	if !led[leader] {
+		return fmt.Errorf("%w: %s leads", ErrUntold, leader)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/withdrawn/withdrawn_test.go
@@ -0,0 +1,182 @@
+package withdrawn
+
+import (
+	"context"
+	"errors"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"rillflow/internal/wire"
+)
+
+const within = 40 * time.Second
+
+// clock is a time that only the test moves.
+type clock struct{ now time.Time }
+
+func notices(c *clock, refused *bool, max int) *Notices {
+	return New(Options{Within: within, Max: max, Peers: []string{"a", "b"}, Refused: func() bool { return *refused }, Now: func() time.Time { return c.now }})
+}
+
+// A notice is kept while what it stops may still be there or come, and never pushed out.
+func TestKept(t *testing.T) {
+	c, refused := &clock{time.Unix(1e9, 0)}, false
+	n := notices(c, &refused, 2)
+	if !n.Add("", "req-1", "req-2") || n.Add("", "req-3") || !n.Add("a", "req-2") {
+		t.Fatal("room for two, and for none pushed out")
+	}
+	c.now = c.now.Add(within + time.Second)
+	if n.Add("", "req-3") {
+		t.Error("dropped as soon as its tasks are gone: a late command may start one yet")
+	}
+	refused = true
+	c.now = c.now.Add(10 * within)
+	if n.Add("", "req-3") {
+		t.Error("dropped in an outage")
+	}
+	refused = false
+	if c.now = c.now.Add(within); !n.Add("", "req-3") || n.Has("req-1") || !slices.Equal(n.All(), []string{"req-3"}) {
+		t.Errorf("kept for good: %v", n.All())
+	}
+}
+
+func TestStops(t *testing.T) {
+	c, refused := &clock{time.Unix(1e9, 0)}, false
+	n := notices(c, &refused, 8)
+	rep := &wire.Report{Members: []wire.Member{
+		{Member: "req-1/0", Try: 1, Phase: wire.Running}, {Member: "req-1/1", Try: 2, Phase: wire.Fetching}, {Member: "req-1/2", Try: 1, Phase: wire.Ended},
+		{Member: "req-10/0", Try: 1, Phase: wire.Running},
+	}}
+	given := []wire.Order{{Verb: wire.Stop, Member: "req-1/0", Try: 1}, {Verb: wire.Launch, Member: "req-1/3", Try: 1}, {Verb: wire.Launch, Member: "req-10/1", Try: 1}, {Verb: wire.Reap, Member: "req-1/2", Try: 1}}
+	if got := n.Stops(rep, slices.Clone(given)); !slices.Equal(got, given) {
+		t.Errorf("%v, with nothing withdrawn", got)
+	}
+	n.Add("", "req-1")
+	want := []wire.Order{given[0], given[2], given[3], {Verb: wire.Stop, Member: "req-1/1", Try: 2}}
+	if got := n.Stops(rep, slices.Clone(given)); !slices.Equal(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
+
+// A process that has just begun knows all only from one that knows all.
+func TestSettled(t *testing.T) {
+	c, refused := &clock{time.Unix(1e9, 0)}, false
+	old := notices(c, &refused, 8)
+	c.now = c.now.Add(within + time.Second)
+	old.Add("", "req-1")
+	young, next := notices(c, &refused, 8), notices(c, &refused, 8)
+	no := func() bool { return false }
+	if young.Take(&Note{From: "a", All: true}, no); young.Settled() {
+		t.Error("settled by one that is not")
+	}
+	if young.Take(&Note{From: "a", Refs: []string{"req-2"}, Settled: true}, no); young.Settled() {
+		t.Error("settled by a part of what there is")
+	}
+	a := old.Take(&Note{From: "b", All: true}, no)
+	if !a.Settled || !slices.Equal(a.Refs, []string{"req-1"}) {
+		t.Errorf("%+v", a)
+	}
+	next.Add("a", a.Refs...)
+	next.Inherit()
+	if a = next.Take(&Note{From: "b", All: true}, no); !next.Settled() || !a.Settled {
+		t.Error("not settled by one that is")
+	}
+	c.now = c.now.Add(within + time.Second)
+	if !young.Settled() {
+		t.Error("not settled by having been there")
+	}
+}
+
+// What a peer knows ends with its process, which may have been replaced unseen.
+func TestPeerForgets(t *testing.T) {
+	c, refused := &clock{time.Unix(1e9, 0)}, false
+	n := notices(c, &refused, 8)
+	n.Add("a", "req-1")
+	n.Add("", "req-2")
+	n.Knows("a", []string{"req-2"})
+	if u := n.Unknown("a"); len(u) != 0 {
+		t.Errorf("unknown %v", u)
+	}
+	n.Begins("a")
+	if u := n.Unknown("a"); !slices.Equal(u, []string{"req-1", "req-2"}) || len(n.Unknown("b")) != 2 {
+		t.Errorf("unknown %v", u)
+	}
+}
+
+// link stands in for the way to the peers.
+type link map[string]struct {
+	Ack
+	err error
+}
+
+func (l link) Note(_ context.Context, p string, _ *Note) (Ack, error) { return l[p].Ack, l[p].err }
+
+func TestTell(t *testing.T) {
+	down, knows, leads, full := errors.New("down"), Ack{Taken: true}, Ack{Taken: true, Leads: true}, Ack{Leads: true}
+	type peers = link
+	for _, tc := range []struct {
+		name   string
+		self   bool // this node leads
+		peers  peers
+		leader string // as the state service has it; "": it refuses
+		ok     bool
+		reads  int
+	}{
+		{"all know", false, peers{"a": {knows, nil}, "b": {leads, nil}}, "", true, 0},
+		{"one is away, the leader knows", false, peers{"a": {Ack{}, down}, "b": {leads, nil}}, "b", true, 1},
+		{"one is away, this one leads", true, peers{"a": {Ack{}, down}, "b": {Ack{}, down}}, "me", true, 1},
+		{"the leader is away", false, peers{"a": {Ack{}, down}, "b": {knows, nil}}, "a", false, 1},
+		{"who knows led, and another does since", false, peers{"a": {Ack{}, down}, "b": {leads, nil}}, "a", false, 1},
+		{"the leader has yet to read its ledger", false, peers{"a": {Ack{}, down}, "b": {knows, nil}}, "b", false, 1},
+		{"this one has", false, peers{"a": {Ack{}, down}, "b": {knows, nil}}, "me", false, 1},
+		{"nobody can tell who leads", false, peers{"a": {Ack{}, down}, "b": {leads, nil}}, "", false, 1},
+		{"the leader has no room", false, peers{"a": {knows, nil}, "b": {full, nil}}, "b", false, 1},
+		{"the leader is too old to be told", false, peers{"a": {Ack{}, down}, "b": {Ack{}, ErrOld}}, "b", true, 1},
+		{"all others are", false, peers{"a": {Ack{}, ErrOld}, "b": {Ack{}, ErrOld}}, "", true, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, refused, reads := &clock{time.Unix(1e9, 0)}, false, 0
+			n := notices(c, &refused, 8)
+			te := &Teller{Node: "me", Notices: n, Link: tc.peers, Leads: func() bool {
+				if !n.Has("req-1") {
+					t.Error("asked whether it leads ahead of the notice")
+				}
+				return tc.self
+			}, Leader: func(context.Context) (string, error) {
+				reads++
+				if tc.leader == "" {
+					return "", down
+				}
+				return tc.leader, nil
+			}}
+			if err := te.Tell(t.Context(), "req-1"); (err == nil) != tc.ok || err != nil && !errors.Is(err, ErrUntold) || reads != tc.reads {
+				t.Errorf("%v, after %d reads", err, reads)
+			}
+			for p, l := range tc.peers {
+				if got := !slices.Contains(n.Unknown(p), "req-1"); got != (l.err == nil && l.Taken) {
+					t.Errorf("%s is taken to know: %v", p, got)
+				}
+			}
+		})
+	}
+}
+
+func FuzzMessages(f *testing.F) {
+	n, a := Note{"me", []string{"req-1", ""}, true, false}, Ack{true, false, true, []string{"req-2"}}
+	f.Add(n.Encode())
+	f.Add(a.Encode())
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if n, err := DecodeNote(b); err == nil {
+			if m, err := DecodeNote(n.Encode()); err != nil || !reflect.DeepEqual(m, n) {
+				t.Errorf("%+v, %+v, %v", n, m, err)
+			}
+		}
+		if a, err := DecodeAck(b); err == nil {
+			if m, err := DecodeAck(a.Encode()); err != nil || !reflect.DeepEqual(m, a) {
+				t.Errorf("%+v, %+v, %v", a, m, err)
+			}
+		}
+	})
+}
