Meetings: late copies of reports, a yielding leader, machines that hang with withdrawn tasks

News alone counts now; any answer still counts for the lease. - A raise of the epoch without an answer may be carried out late: owners and workers then know an epoch that the leader does not, and it turned their reports away until the next raise. It raises again at once. - A leader refused alone ended its term before anybody could follow: were all refused next, nobody answered workers or saw to withdrawn tasks on machines that hang. It yields now: the grant is renewed no more, and the term goes on until the next epoch is known. - A new leader knows all withdrawals whose tasks may be left, so it settles the others. Found by the simulation itself: a lock held over a sleep stopped its clock.

--- a/internal/agent/host.go
+++ b/internal/agent/host.go
@@ -24,10 +24,13 @@
 	Shown   time.Time // when it first said so
 	Asked   time.Time // when it was rented
 	Running time.Time // when the list first showed it running
-	Heard   time.Time // last beat that was answered
+	Heard   time.Time // last beat that was answered and no older than what was known
 	Polling bool
-	Polled  time.Time // last answer to a direct request
-	WarnAt  time.Time // when the cloud takes it away; zero: no notice
+	Told    time.Time // last message of its own that was news, to whatever request
+	// Answered is when a beat was last answered, an old one included: the answer may
+	// renew the worker's lease.
+	Answered time.Time
+	WarnAt   time.Time // when the cloud takes it away; zero: no notice
 
 	Members map[ledger.Task]Member
 	Stray   bool    // a task on it takes room that no claim tells of
@@ -77,10 +80,10 @@
 	Coming bool // not fetched yet, as far as is known
 }
 
-// Lately is when anything last came from the host itself.
+// Lately is when news last came from the host itself.
 func (h *Host) Lately() time.Time {
-	if h.Polled.After(h.Heard) {
-		return h.Polled
+	if h.Told.After(h.Heard) {
+		return h.Told
 	}
 	return h.Heard
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -44,6 +44,7 @@
 	copies  *copies.Copy
 	peers   copies.Peers
 	notices func() []string // jobs that this node knows to be withdrawn
+	found   func(refs []string)
 	log     *slog.Logger
 	now     func() time.Time
 	cur     atomic.Pointer[reign]
@@ -60,6 +61,8 @@
 	// Alone tells whether the state service refuses this node but serves a
 	// peer, and which.
 	Alone() (string, bool)
+	// Refused tells whether the state service has not answered for long.
+	Refused() bool
 }
 
 // Term is the leadership that a reign rests on.
@@ -91,15 +94,17 @@
 	Copies   *copies.Copy
 	Peers    copies.Peers
 	// Withdrawn are jobs whose withdrawal was committed lately, from wherever this node
-	// knows it.
+	// knows it; Settle notes those of which there are claims left, as a new leader read
+	// them, and that no others can have tasks.
 	Withdrawn func() []string
+	Settle    func(refs []string)
 	Log       *slog.Logger
 }
 
 // New makes a Control.
 func New(d Deps) *Control {
 	return &Control{set: d.Settings, st: d.State, cloud: d.Cloud, direct: d.Direct, el: d.Elector, types: d.Types, parts: d.Parts, full: d.Full, ring: d.Ring,
-		hist: d.History, copies: d.Copies, peers: d.Peers, notices: d.Withdrawn, log: d.Log, now: time.Now}
+		hist: d.History, copies: d.Copies, peers: d.Peers, notices: d.Withdrawn, found: d.Settle, log: d.Log, now: time.Now}
 }
 
 // reign is the state of one term. Everything below mu is guarded by it.
@@ -163,6 +168,9 @@
 	}
 	r.mu.Lock()
 	r.rec.note(c.now(), audit.Entry{Act: audit.TookOver, On: c.set.Node, Why: fmt.Sprintf("epoch %d", term.First)})
+	if p := term.History().Phase; p == history.Whole || p == history.Open {
+		r.found(r.withdrawn())
+	}
 	r.mu.Unlock()
 	close(r.ready)
 	r.start(r.tend, r.raise, r.watchParts, r.feed)
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -380,7 +380,7 @@
 			j := r.add("req-1", wire.Job{Shape: wire.Standing, Members: 1, Cores: 1})
 			r.run(t, j, "h0", time.Minute)
 			h := r.hosts["h0"]
-			h.Sole, h.Epoch, h.Heard, h.Shown = tc.sole, tc.epoch, now.Add(-tc.silent), now.Add(-tc.shown)
+			h.Sole, h.Epoch, h.Heard, h.Answered, h.Shown = tc.sole, tc.epoch, now.Add(-tc.silent), now.Add(-tc.silent), now.Add(-tc.shown)
 			r.expire(now)
 			if got := j.Active() == 0; got != tc.freed {
 				t.Errorf("freed: %v, want %v", got, tc.freed)
--- a/internal/control/heed.go
+++ b/internal/control/heed.go
@@ -40,6 +40,19 @@
 	}
 }
 
+// withdrawn are the jobs that are withdrawn and of which there are claims left. Just read
+// by a new leader they are all whose tasks may be there still: a claim goes only once its
+// task surely has.
+func (r *reign) withdrawn() []string {
+	var out []string
+	for ref, j := range r.led.Jobs() {
+		if j.Withdrawn {
+			out = append(out, ref)
+		}
+	}
+	return out
+}
+
 // outlives tells whether a withdrawn task might still be on a host when it must be gone.
 // The host may be behind a cut with a controller that knows of no withdrawal, or not hear
 // what it is told, or a launch of unknown fate may still be on its way to it: then only
--- a/internal/control/hold.go
+++ b/internal/control/hold.go
@@ -65,7 +65,7 @@
 		}
 		l, listed := r.listed[h.Name]
 		up := listed && l.Phase == wire.Running || len(r.led.OnHost(h.Name)) > 0
-		if up && (h.Heard.IsZero() && h.Polled.IsZero() || h.Epoch < r.first) {
+		if up && (h.Heard.IsZero() && h.Told.IsZero() || h.Epoch < r.first) {
 			out = append(out, h.Name)
 		}
 	}
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -50,11 +50,16 @@
 	if h.Heard.IsZero() && !h.Asked.IsZero() {
 		r.log.Info("up", "host", h.Name, "flavor", h.Flavor, "zone", h.Zone, "since_asked_s", now.Sub(h.Asked).Seconds())
 	}
-	h.Heard, r.heard = now, now
+	// Whatever is answered may renew the lease. But a report that comes after newer ones,
+	// a late copy perhaps, tells nothing of how the machine is by now.
+	h.Answered = now
 	out := wire.Orders{Epoch: epoch, Orders: []wire.Order{}}
-	if h.Tenure == rep.Tenure && h.Tick == rep.Tick && !r.doubted() {
-		out.Orders = append(out.Orders, h.Orders(r.led.OnHost(h.Name), epoch, true)...)
-		r.fence(h)
+	if h.Tenure == rep.Tenure && h.Tick == rep.Tick {
+		h.Heard, r.heard = now, now
+		if !r.doubted() {
+			out.Orders = append(out.Orders, h.Orders(r.led.OnHost(h.Name), epoch, true)...)
+			r.fence(h)
+		}
 	}
 	learned := h.Learned
 	h.Learned = nil
@@ -112,7 +117,7 @@
 	used := r.led.Used(h.Name)
 	h.Address, h.Flavor, h.Loaners = rep.Address, rep.Flavor, rep.Loaners
 	r.zoned(h, rep.Locale)
-	h.Tick = rep.Tick
+	h.Tick, h.Told = rep.Tick, now
 	if rep.Epoch > h.Epoch {
 		h.Epoch, h.Shown = rep.Epoch, now
 	}
@@ -410,7 +415,7 @@
 
 // alive tells whether a host was heard from lately.
 func (r *reign) alive(h *agent.Host, now time.Time) bool {
-	return !h.Heard.IsZero() && now.Sub(h.Heard) < 5*r.set.Report()/2
+	return !h.Heard.IsZero() && now.Sub(h.Lately()) < 5*r.set.Report()/2
 }
 
 // typeOf is the type of a job for the placement rule.
--- a/internal/control/late_test.go
+++ b/internal/control/late_test.go
@@ -1,10 +1,12 @@
 package control
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"rillflow/internal/agent"
+	"rillflow/internal/lead"
 	"rillflow/internal/ledger"
 	"rillflow/internal/wire"
 )
@@ -46,3 +48,85 @@
 		})
 	}
 }
+
+// What comes after newer reports, a late copy perhaps, is answered, for the answer may
+// renew the lease; but it tells nothing of how the machine is by now. Taken for a sign of
+// life it kept a dead machine's tasks waiting for as long as copies came.
+func TestLateReportIsNoSignOfLife(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		tenure, tick uint64
+		heard        bool
+	}{
+		{"news", 2, 11, true},
+		{"a late copy", 2, 9, false},
+		{"of an earlier session", 1, 40, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := term(t)
+			r.term, r.ready, r.ctx = &held{lead.Map{Epoch: 7, Parts: []string{"n"}}}, make(chan struct{}), t.Context()
+			close(r.ready)
+			r.cur.Store(r)
+			h := r.hosts["h0"]
+			h.Tenure, h.Tick, h.Epoch = 2, 10, 7
+			before := now.Add(-20 * time.Second)
+			h.Heard, h.Answered, h.Told, r.heard = before, before, before, before
+			if _, _, err := r.Beat(t.Context(), &wire.Report{Host: "h0", Flavor: "m", Locale: h.Zone, Tenure: tc.tenure, Tick: tc.tick, Epoch: 7}); err != nil {
+				t.Fatal(err)
+			}
+			if got := h.Heard.Equal(now) && r.heard.Equal(now) && h.Lately().Equal(now); got != tc.heard || got != r.alive(h, now) {
+				t.Errorf("heard %v, told %v, alive %v", h.Heard, h.Told, r.alive(h, now))
+			}
+			if !h.Answered.Equal(now) {
+				t.Error("the answer is not counted: it may have renewed the lease")
+			}
+		})
+	}
+}
+
+// A machine on which a withdrawn task may still be when it must be gone is returned, heard
+// or not, by whoever led last; what the state service has not told is known from notices.
+func TestOverdue(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		since  time.Duration // the withdrawal
+		over   bool          // its end was seen
+		silent bool
+		due    bool
+	}{
+		{"just now", 10 * time.Second, false, false, false},
+		{"about to be late, and silent", 45 * time.Second, false, true, true},
+		{"about to be late, though heard", 45 * time.Second, false, false, true},
+		{"seen to end", 45 * time.Second, true, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := term(t)
+			r.took, r.term = newLatencies(), &held{lead.Map{Epoch: 7, Parts: []string{"n"}}}
+			r.set.Facts.Workers.CancelS = 50
+			j := r.add("req-1", wire.Job{Class: "f", Members: 1, Cores: 2})
+			r.add("req-2", wire.Job{Class: "f", Members: 1, Cores: 2})
+			r.run(t, j, "h0", time.Minute)
+			r.run(t, r.led.Job("req-2"), "h1", time.Minute)
+			r.notices = func() []string { return []string{"req-1", "req-unknown"} }
+			r.heed()
+			if !j.Withdrawn || r.led.Job("req-2").Withdrawn {
+				t.Fatal("not withdrawn by the notice")
+			}
+			if tc.over {
+				r.report(&wire.Report{Host: "h0", Flavor: "m", Locale: "a", Tenure: 1, Tick: 1, Members: []wire.Member{{Member: "req-1/0", Try: 1, Phase: wire.Ended, Cause: wire.CauseHalted}}})
+			}
+			at := now.Add(tc.since)
+			if !tc.silent {
+				r.hosts["h0"].Heard = at
+			}
+			r.hosts["h1"].Heard = at
+			due := slices.Contains(r.overdue(at), "h0")
+			if due != tc.due || slices.Contains(r.overdue(at), "h1") {
+				t.Errorf("overdue %v", r.overdue(at))
+			}
+			if tc.due && !slices.Contains(r.faulty(at), "h0") {
+				t.Error("not returned by a leader that is sure to lead")
+			}
+		})
+	}
+}
--- a/internal/control/rules_test.go
+++ b/internal/control/rules_test.go
@@ -54,6 +54,7 @@
 }
 func (parts) Fit(have []string) []string { return have }
 func (parts) Alone() (string, bool)      { return "", false }
+func (parts) Refused() bool              { return false }
 
 // truth is a worker as it really is.
 type truth struct {
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -55,7 +55,7 @@
 func (r *reign) expire(now time.Time) {
 	over := r.leaseOver()
 	for _, h := range r.hosts {
-		if h.Heard.IsZero() || h.Sole == 0 || h.Epoch < h.Sole || now.Sub(h.Heard) < over || now.Sub(h.Shown) < over {
+		if h.Heard.IsZero() || h.Sole == 0 || h.Epoch < h.Sole || now.Sub(h.Answered) < over || now.Sub(h.Shown) < over {
 			continue
 		}
 		for _, c := range r.led.OnHost(h.Name) {
@@ -117,7 +117,6 @@
 		return
 	}
 	r.mu.Lock()
-	h.Polled = r.now()
 	r.report(rep)
 	r.mu.Unlock()
 	if rep.Epoch < r.term.Epoch() {
@@ -620,19 +619,26 @@
 }
 
 // watchParts has the hosts parted anew when a node comes or goes, and hands
-// over when the state service refuses this node alone.
+// over when the state service refuses this node alone: at the next leader's epoch, or once
+// it answers here again, for then the grant is over.
 func (r *reign) watchParts(ctx context.Context) error {
+	yielded := false
 	for sleep(ctx, r.set.Report()/6) {
 		if m := r.el.Known(); m.Epoch > r.term.Epoch() && m.Leader != r.set.Node {
 			return fmt.Errorf("%w: %s leads under epoch %d", lead.ErrDeposed, m.Leader, m.Epoch)
 		}
 		if node, alone := r.parts.Alone(); alone {
-			why := "the state service serves " + node + " but not this node"
-			r.el.Resign(r.set.Lease()/4, why)
-			return errors.New(why)
+			if !yielded {
+				r.el.Yield(r.set.Lease()/4, "the state service serves "+node+" but not this node")
+			}
+			yielded = true
+		} else if yielded && !r.parts.Refused() {
+			return errors.New("control: the state service answers again, and the lead was given up")
 		}
 		have := r.term.Map().Parts
-		if !slices.Equal(have, r.parts.Fit(have)) {
+		// A raise without an answer may have been carried out late: owners then know
+		// its epoch, and so do workers, whose reports this leader would turn away.
+		if !slices.Equal(have, r.parts.Fit(have)) || r.el.Known().Epoch > r.term.Epoch() {
 			kick(r.raises)
 		}
 	}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -230,6 +230,7 @@
 	shown  uint64    // the highest epoch that a worker has shown
 	rest   time.Time // not a candidate before this
 	resign context.CancelCauseFunc
+	yield  context.CancelFunc
 	// What the leader key says, whether the history is doubted, and since when both
 	// are as they are.
 	stale   leaderValue
@@ -389,6 +390,21 @@
 	}
 }
 
+// Yield gives the leadership up to whoever is next, and does not seek it again for a
+// while: its grant is renewed no more. Until there is a next, which cannot be while the
+// state service answers nobody, the term goes on: somebody has to answer the workers and
+// to stop what users withdrew.
+func (e *Elector) Yield(rest time.Duration, why string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rest = time.Now().Add(rest)
+	if e.yield != nil {
+		e.log.Info("yielding", "why", why)
+		e.yield()
+		e.yield = nil
+	}
+}
+
 // Distrust ends the leadership, if this node has it: the state service may have lost
 // data. It may be sought again at once.
 func (e *Elector) Distrust(why string) {
@@ -591,6 +607,8 @@
 	tctx, cancel := context.WithCancelCause(ctx)
 	e.mu.Lock()
 	e.resign = cancel
+	var kept context.Context // for as long as the grant is kept up
+	kept, e.yield = context.WithCancel(tctx)
 	e.mu.Unlock()
 	e.setLeader(e.node)
 	e.log.Info("leading", "epoch", t.First)
@@ -599,12 +617,12 @@
 		defer close(done)
 		cancel(serve(tctx, t))
 	}()
-	go e.renew(tctx, t, cancel)
+	go e.renew(kept, t, cancel)
 	<-tctx.Done()
 	<-done
 	e.setLeader("")
 	e.mu.Lock()
-	e.resign = nil
+	e.resign, e.yield = nil, nil
 	e.mu.Unlock()
 	e.log.Info("no longer leading", "epoch", t.First, "why", context.Cause(tctx))
 	rctx, stop := context.WithTimeout(context.WithoutCancel(ctx), e.life/2)
--- a/internal/part/deaf_test.go
+++ b/internal/part/deaf_test.go
@@ -81,19 +81,24 @@
 		stale time.Duration
 		live  bool
 		seen  uint64
+		fresh bool // it has just begun, and may have forgotten what users were told
 		epoch uint64
 	}{
-		{"cut off with the worker's zone", near, "a", time.Minute, false, 7, 7},
-		{"the owner can be reached", near, "a", time.Minute, true, 7, 0},
-		{"the state service answers: a new map will come", near, "a", 0, false, 7, 0},
-		{"another zone", near, "b", time.Minute, false, 7, 0},
-		{"a leader of an earlier version", old, "a", time.Minute, false, 7, 0},
-		{"this node has no part any more", without, "a", time.Minute, false, 7, 0},
-		{"the worker knows a later map", near, "a", time.Minute, false, 8, 0},
+		{"cut off with the worker's zone", near, "a", time.Minute, false, 7, false, 7},
+		{"and just begun", near, "a", time.Minute, false, 7, true, 0},
+		{"the owner can be reached", near, "a", time.Minute, true, 7, false, 0},
+		{"the state service answers: a new map will come", near, "a", 0, false, 7, false, 0},
+		{"another zone", near, "b", time.Minute, false, 7, false, 0},
+		{"a leader of an earlier version", old, "a", time.Minute, false, 7, false, 0},
+		{"this node has no part any more", without, "a", time.Minute, false, 7, false, 0},
+		{"the worker knows a later map", near, "a", time.Minute, false, 8, false, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			p := part(t, tc.m, tc.stale, &links{err: peer.ErrDown, peers: map[string]peer.Status{"other": {Live: tc.live}}})
 			p.set.Zone = "a"
+			if !tc.fresh {
+				p.gone.Inherit()
+			}
 			host := "i-1"
 			for i := 0; tc.m.Owner(host) != "other"; i++ {
 				host += "x"
--- a/internal/serve/front.go
+++ b/internal/serve/front.go
@@ -201,6 +201,12 @@
 
 func (d *daemon) Reached(ctx context.Context, node string) {
 	d.gone.Begins(node)
+	d.compare(ctx, node)
+}
+
+// compare tells a peer all withdrawals that this node knows of, and hears all that the
+// peer does.
+func (d *daemon) compare(ctx context.Context, node string) {
 	refs := d.gone.All()
 	a, err := d.mesh.Note(ctx, node, &withdrawn.Note{From: d.set.Node, Refs: refs, All: true, Settled: d.gone.Settled()})
 	if err != nil || !a.Taken {
@@ -212,7 +218,18 @@
 	}
 }
 
+// settle notes the withdrawals that a new leader found.
+func (d *daemon) settle(refs []string) {
+	if d.gone.Add("", refs...) {
+		d.gone.Inherit()
+	}
+}
+
 func (d *daemon) Linked(ctx context.Context, node string) {
+	if !d.gone.Settled() {
+		d.compare(ctx, node) // the peer may be by now, a new leader above all
+		return
+	}
 	refs := d.gone.Unknown(node)
 	if len(refs) == 0 {
 		return
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -131,7 +131,7 @@
 	}
 	d.control = control.New(control.Deps{
 		Settings: set, State: d.st, Cloud: cloud, Direct: agent.NewDirect(set.Report(), int(idleWorkers*float64(facts.Resources.Sockets)), nw.Dial), Elector: d.el,
-		Types: types, Parts: d.part, Full: d.memory.High, Ring: kept, History: d.hist, Copies: d.copies, Peers: d.mesh, Withdrawn: d.gone.All, Log: log,
+		Types: types, Parts: d.part, Full: d.memory.High, Ring: kept, History: d.hist, Copies: d.copies, Peers: d.mesh, Withdrawn: d.gone.All, Settle: d.settle, Log: log,
 	})
 	mux := http.NewServeMux()
 	intake.New(set, d.st, types, d.counts, d.part.Refused, d.memory.High, d.door, d, d.copies, d.teller, day, log).Routes(mux)
--- a/internal/sim/meeting_test.go
+++ b/internal/sim/meeting_test.go
@@ -4,8 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +28,8 @@
 	leader int // at the start
 	client *http.Client
 	ctx    context.Context
+	began  time.Time
+	fate   fate
 }
 
 // refuse has the state service refuse a controller alone, or ends that.
@@ -100,14 +106,7 @@
 		m.leader = st.leads()
 		began := time.Now()
 		troubles(m)
-		// What stays on a machine breaks the rule too, not only what leaves it late.
-		w.mu.Lock()
-		for task, host := range w.where {
-			if at, ok := w.gone[task.Ref]; ok && time.Since(at) > cancel {
-				w.broke("ran_cancelled: %s is on %s %v after", task, host, time.Since(at))
-			}
-		}
-		w.mu.Unlock()
+		w.linger()
 		time.Sleep(max(0, 400*time.Second-time.Since(began)))
 		end()
 		for _, b := range w.breaches {
@@ -133,6 +132,25 @@
 	})
 }
 
+// echo has copies of a share of the workers' reports arrive again, late.
+func (w *world) echo(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.echoes = share
+}
+
+// linger checks what is on machines: what stays there breaks the rule too, not only what
+// leaves late.
+func (w *world) linger() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for task, host := range w.where {
+		if at, ok := w.gone[task.Ref]; ok && time.Since(at) > cancel {
+			w.broke("ran_cancelled: %s is on %s %v after", task, host, time.Since(at))
+		}
+	}
+}
+
 func ref(i int) string { return fmt.Sprintf("req-%06d", i) }
 
 // The state service refuses the leader alone, another controller tells users that their
@@ -144,18 +162,22 @@
 		refused time.Duration // the leader alone, before the first withdrawal
 		then    time.Duration // until the state service is down for all
 		cut     bool          // the leader is cut off from the others too
+		hang    bool          // half of the machines hang from the outage on
 		keep    bool          // all other tasks run on through it
 	}{
-		{"at once", 300 * time.Millisecond, 700 * time.Millisecond, false, true},
-		{"as it is about to hand over", 2 * time.Second, time.Second, false, true},
-		{"as it hands over", 3500 * time.Millisecond, 800 * time.Millisecond, false, true},
-		{"as the next is elected", 5 * time.Second, 1500 * time.Millisecond, false, true},
-		{"while the next loads", 6 * time.Second, 500 * time.Millisecond, false, true},
-		{"once another leads", 12 * time.Second, 3 * time.Second, false, true},
-		{"cut off too, at once", 300 * time.Millisecond, 700 * time.Millisecond, true, false},
-		{"cut off too, before an election", 2 * time.Second, 800 * time.Millisecond, true, false},
-		{"cut off too, as the next is elected", 4 * time.Second, 800 * time.Millisecond, true, false},
-		{"cut off too, once another leads", 9 * time.Second, 2 * time.Second, true, false},
+		{"at once", 300 * time.Millisecond, 700 * time.Millisecond, false, false, true},
+		{"as it is about to hand over", 2 * time.Second, time.Second, false, false, true},
+		{"as it hands over", 3500 * time.Millisecond, 800 * time.Millisecond, false, false, true},
+		{"as the next is elected", 5 * time.Second, 1500 * time.Millisecond, false, false, true},
+		{"while the next loads", 6 * time.Second, 500 * time.Millisecond, false, false, true},
+		{"once another leads", 12 * time.Second, 3 * time.Second, false, false, true},
+		{"with machines that hang, at once", 300 * time.Millisecond, 700 * time.Millisecond, false, true, false},
+		{"with machines that hang, as it is about to hand over", 2 * time.Second, time.Second, false, true, false},
+		{"with machines that hang, once another leads", 12 * time.Second, 3 * time.Second, false, true, false},
+		{"cut off too, at once", 300 * time.Millisecond, 700 * time.Millisecond, true, false, false},
+		{"cut off too, before an election", 2 * time.Second, 800 * time.Millisecond, true, false, false},
+		{"cut off too, as the next is elected", 4 * time.Second, 800 * time.Millisecond, true, false, false},
+		{"cut off too, once another leads", 9 * time.Second, 2 * time.Second, true, false, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			holds(t, 5, tc.keep, func(m *meeting) {
@@ -174,6 +196,9 @@
 				}
 				time.Sleep(tc.then)
 				m.st.outage(true)
+				if tc.hang {
+					go m.strike(m.some(0.5), 2*cancel, func(k *worker, on bool) { k.hung = on })
+				}
 				time.Sleep(2 * cancel)
 				m.w.mu.Lock()
 				told = len(m.w.gone)
@@ -188,3 +213,215 @@
 		})
 	}
 }
+
+// trouble is one of those that meet. It lasts for about as long as it is told.
+type trouble struct {
+	name string
+	play func(m *meeting, n int, long time.Duration)
+}
+
+// fate keeps two troubles from ending or starting one process at once.
+type fate [nodes]sync.Mutex
+
+func (m *meeting) end(n int, long time.Duration) {
+	if !m.fate[n].TryLock() {
+		return // it is being ended as it is; to wait for a lock would stop the clock
+	}
+	defer m.fate[n].Unlock()
+	m.cs[n].crash()
+	time.Sleep(long)
+	m.cs[n] = m.w.boot(n)
+}
+
+// some are a few machines, by lot.
+func (m *meeting) some(share float64) (out []string) {
+	m.cl.mu.Lock()
+	defer m.cl.mu.Unlock()
+	for _, h := range slices.Sorted(maps.Keys(m.cl.hosts)) {
+		if m.w.intN(100) < int(100*share) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// apart cuts ways, or ends that.
+func (m *meeting) apart(from []string, to []string, long time.Duration) {
+	for _, on := range []bool{true, false} {
+		for _, a := range from {
+			for _, b := range to {
+				m.w.net.cut(a, b, on)
+			}
+		}
+		if on {
+			time.Sleep(long)
+		}
+	}
+}
+
+// strike does something to machines, and undoes it.
+func (m *meeting) strike(hosts []string, long time.Duration, do func(k *worker, on bool)) {
+	for _, on := range []bool{true, false} {
+		for _, h := range hosts {
+			m.w.mu.Lock()
+			k := m.w.workers[h]
+			m.w.mu.Unlock()
+			if k != nil {
+				k.mu.Lock()
+				do(k, on)
+				k.mu.Unlock()
+			}
+		}
+		if on {
+			time.Sleep(long)
+		}
+	}
+}
+
+// others are the other controllers.
+func others(n int) (out []string) {
+	for o := range nodes {
+		if o != n {
+			out = append(out, name(o))
+		}
+	}
+	return out
+}
+
+var troubles = []trouble{
+	{"outage", func(m *meeting, n int, long time.Duration) {
+		m.st.outage(true)
+		time.Sleep(long)
+		m.st.outage(false)
+	}},
+	{"refused alone", func(m *meeting, n int, long time.Duration) {
+		m.st.refuseAlone(name(n), true)
+		time.Sleep(long)
+		m.st.refuseAlone(name(n), false)
+	}},
+	{"over and back", func(m *meeting, n int, long time.Duration) {
+		for end := time.Now().Add(long); time.Now().Before(end); {
+			l := max(0, m.st.leads())
+			m.st.refuseAlone(name(l), true)
+			time.Sleep(time.Duration(500+m.w.intN(9000)) * time.Millisecond)
+			m.st.refuseAlone(name(l), false)
+			time.Sleep(time.Duration(m.w.intN(3000)) * time.Millisecond)
+		}
+	}},
+	{"slow state", func(m *meeting, n int, long time.Duration) {
+		m.st.crawl(time.Duration(200+m.w.intN(1000)) * time.Millisecond)
+		time.Sleep(long)
+		m.st.crawl(0)
+	}},
+	{"late writes", func(m *meeting, n int, long time.Duration) {
+		m.st.delay(0.3)
+		time.Sleep(long)
+		m.st.delay(0)
+	}},
+	{"late reports", func(m *meeting, n int, long time.Duration) {
+		m.w.echo(0.5)
+		time.Sleep(long)
+		m.w.echo(0)
+	}},
+	{"deaf machines", func(m *meeting, n int, long time.Duration) {
+		m.strike(m.some(0.5), long, func(k *worker, on bool) { k.deaf = on })
+	}},
+	{"machines hang", func(m *meeting, n int, long time.Duration) {
+		m.strike(m.some(0.5), long, func(k *worker, on bool) { k.hung = on })
+	}},
+	{"cut from the state service", func(m *meeting, n int, long time.Duration) { m.apart([]string{name(n)}, []string{"state"}, long) }},
+	{"cut from peers", func(m *meeting, n int, long time.Duration) { m.apart([]string{name(n)}, others(n), long) }},
+	{"cut from both", func(m *meeting, n int, long time.Duration) {
+		m.apart([]string{name(n)}, append(others(n), "state"), long)
+	}},
+	{"cut from machines", func(m *meeting, n int, long time.Duration) { m.apart([]string{name(n)}, m.some(0.7), long) }},
+	{"machines out of reach", func(m *meeting, n int, long time.Duration) {
+		m.apart(m.some(0.5), append(others(n), name(n)), long)
+	}},
+	{"zone cut", func(m *meeting, n int, long time.Duration) {
+		m.w.cutZone(m.cl, zoneOf(n), true)
+		time.Sleep(long)
+		m.w.cutZone(m.cl, zoneOf(n), false)
+	}},
+	{"crash", func(m *meeting, n int, long time.Duration) { m.end(n, m.w.away()) }},
+	{"all crash", func(m *meeting, n int, long time.Duration) {
+		var wg sync.WaitGroup
+		for n := range nodes {
+			wg.Go(func() { m.end(n, m.w.away()) })
+		}
+		wg.Wait()
+	}},
+	{"again and again", func(m *meeting, n int, long time.Duration) {
+		for range 5 {
+			m.end(n, 20*time.Millisecond)
+			time.Sleep(time.Duration(50+m.w.intN(900)) * time.Millisecond)
+		}
+	}},
+}
+
+// Days on which every two troubles meet: one begins within the other, by lot, with users
+// who withdraw all the while.
+func TestMeetings(t *testing.T) {
+	for seed := range seeds(10) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 11))
+			var told []string
+			meets(t, seed, 24, func(m *meeting) {
+				for range 4 {
+					var wg sync.WaitGroup
+					for range 2 + rnd.IntN(2) {
+						x, n := troubles[rnd.IntN(len(troubles))], rnd.IntN(nodes)
+						after, long := time.Duration(rnd.IntN(8000))*time.Millisecond, time.Duration(2000+rnd.IntN(1<<uint(12+rnd.IntN(5))))*time.Millisecond
+						if l := m.st.leads(); rnd.IntN(3) > 0 && l >= 0 {
+							n = l
+						}
+						told = append(told, fmt.Sprintf("%v: %s, host-%d, for %v", time.Since(m.began)+after, x.name, n, long))
+						wg.Go(func() { time.Sleep(after); x.play(m, n, long) })
+					}
+					wg.Wait()
+					time.Sleep(time.Duration(rnd.IntN(10)) * time.Second)
+				}
+			})
+			if t.Failed() {
+				t.Log(strings.Join(told, "\n"))
+			}
+		})
+	}
+}
+
+// meets plays a day of troubles with jobs of long tasks coming all the while and every
+// second of them withdrawn, until everybody has had an answer.
+func meets(t *testing.T, seed uint64, jobs int, troubles func(m *meeting)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		rnd := rand.New(rand.NewPCG(seed, 12))
+		ctx, w, st, cl, cs, end := begin(t, seed, 60, 6, "")
+		m := &meeting{T: t, w: w, st: st, cl: cl, cs: cs, ctx: ctx, began: time.Now()}
+		for i := range jobs {
+			j := wire.Job{Ref: ref(i), Class: "c", Owner: "ab"[i%2 : i%2+1], Shape: wire.Batch, Rank: "standard", Members: 2 + rnd.IntN(2), Cores: 1, RAM: 1, Bundle: "img", Loaners: i%3 == 0, ExpectS: float64(5 + rnd.IntN(120))}
+			withdraw := time.Duration(0)
+			if i%4 == 3 {
+				j.Shape, j.Rank, j.Scatter, j.ExpectS = wire.Standing, "production", true, 0
+			}
+			if i%2 == 1 {
+				withdraw = time.Duration(20+rnd.IntN(120)) * time.Second
+			}
+			w.submit(ctx, j, time.Duration(rnd.IntN(120))*time.Second, withdraw)
+		}
+		time.Sleep(20 * time.Second)
+		troubles(m)
+		time.Sleep(max(150*time.Second, 480*time.Second-time.Since(m.began)))
+		w.linger()
+		end()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, b := range w.breaches {
+			t.Error(b)
+		}
+		for r, j := range w.jobs {
+			if got := w.told[r]; got != wire.Done && got != wire.Withdrawn && (j.Shape == wire.Batch || w.asked[r]) {
+				t.Errorf("%s is %q at the end", r, got)
+			}
+		}
+	})
+}
--- a/internal/sim/services_test.go
+++ b/internal/sim/services_test.go
@@ -40,6 +40,7 @@
 	ops    int
 	fallen bool
 	slow   time.Duration  // answers take up to so long, which is no outage
+	late   float64        // share of transactions without an answer that are carried out much later
 	refust map[string]int // transactions refused for their size
 	broke  func(string, ...any)
 	times  []time.Time // of the changes in the log
@@ -141,6 +142,13 @@
 	s.cond.Broadcast()
 }
 
+// delay has a share of the transactions get no answer and be carried out late.
+func (s *store) delay(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = share
+}
+
 // crawl has answers take up to so long.
 func (s *store) crawl(slow time.Duration) {
 	s.mu.Lock()
@@ -200,6 +208,22 @@
 	case path == "/commit":
 		var t wire.Commit
 		json.Unmarshal(body, &t)
+		if s.rnd.Float64() < s.late {
+			time.AfterFunc(2*time.Second+time.Duration(s.rnd.Int64N(int64(10*time.Second))), func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if s.expire(); !s.down {
+					s.commit(t)
+				}
+			})
+			if s.rnd.IntN(2) == 0 {
+				panic(http.ErrAbortHandler)
+			}
+			s.mu.Unlock()
+			<-r.Context().Done() // its sender gives up
+			s.mu.Lock()
+			return
+		}
 		status, res := s.commit(t)
 		s.wrote[time.Now().Unix()] += len(t.Apply)
 		if s.rnd.IntN(50) == 0 { // a copy of it comes once more, much later or at once
--- a/internal/sim/worker_test.go
+++ b/internal/sim/worker_test.go
@@ -38,6 +38,8 @@
 	tasks  map[string]*task
 	node   int
 	wake   chan struct{}
+	deaf   bool // answers and commands to it are lost
+	hung   bool // it stands still, and may go on later
 }
 
 func (k *worker) report() wire.Report {
@@ -52,7 +54,7 @@
 
 // expire ends the session once the lease is over; run it with the lock held.
 func (k *worker) expire() {
-	if time.Since(k.sent) <= lease {
+	if k.hung || time.Since(k.sent) <= lease {
 		return
 	}
 	k.clear()
@@ -87,6 +89,9 @@
 			k.mu.Lock()
 			k.expire()
 			left := lease - time.Since(k.sent) + time.Millisecond
+			if k.hung {
+				left = time.Second
+			}
 			k.mu.Unlock()
 			select {
 			case <-ctx.Done():
@@ -110,6 +115,10 @@
 
 func (k *worker) beat(ctx context.Context) {
 	k.mu.Lock()
+	if k.hung {
+		k.mu.Unlock()
+		return
+	}
 	k.expire()
 	r := k.report()
 	sent, node := time.Now(), k.node
@@ -124,11 +133,15 @@
 		data, err = io.ReadAll(res.Body)
 		res.Body.Close()
 	}
+	k.echo(ctx, node, body)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expire()
 	switch {
 	case ctx.Err() != nil:
+	case k.deaf || k.hung:
+		k.node = (node + 1) % nodes
+		k.nudge()
 	case err == nil && res.StatusCode == 200:
 		var o wire.Orders
 		json.Unmarshal(data, &o)
@@ -148,6 +161,27 @@
 	}
 }
 
+// echo has a copy of a report arrive again, for a share of them: much later, and at
+// whichever controller is there.
+func (k *worker) echo(ctx context.Context, node int, body []byte) {
+	k.w.mu.Lock()
+	again := k.w.rnd.Float64() < k.w.echoes
+	by := 2*time.Second + time.Duration(k.w.rnd.Int64N(int64(3*lease/2)))
+	k.w.mu.Unlock()
+	if !again {
+		return
+	}
+	time.AfterFunc(by, func() {
+		rctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+		defer cancel()
+		req, _ := http.NewRequestWithContext(rctx, "POST", "http://"+front(node)+"/agent/beat", bytes.NewReader(body))
+		if res, err := k.client.Do(req); err == nil {
+			io.Copy(io.Discard, res.Body)
+			res.Body.Close()
+		}
+	})
+}
+
 func (k *worker) nudge() {
 	select {
 	case k.wake <- struct{}{}:
@@ -189,6 +223,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expire()
+	if k.hung {
+		t.timer = time.AfterFunc(time.Second, func() { k.begin(t) })
+		return
+	}
 	if t.Phase != wire.Fetching || k.tasks[t.Member.Member] != t {
 		return
 	}
@@ -197,16 +235,23 @@
 	t.Phase = wire.Running
 	k.nudge()
 	if j.Shape == wire.Batch {
-		t.timer = time.AfterFunc(time.Duration(j.ExpectS*float64(time.Second)), func() {
-			k.mu.Lock()
-			defer k.mu.Unlock()
-			k.expire()
-			if t.Phase == wire.Running && k.tasks[t.Member.Member] == t {
-				k.finish(t, wire.CauseDone)
-				k.w.complete(id)
-				k.nudge()
-			}
-		})
+		t.timer = time.AfterFunc(time.Duration(j.ExpectS*float64(time.Second)), func() { k.complete(t, id) })
+	}
+}
+
+// complete ends a task that is done, once its machine goes on.
+func (k *worker) complete(t *task, id ledger.Task) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.hung {
+		t.timer = time.AfterFunc(time.Second, func() { k.complete(t, id) })
+		return
+	}
+	k.expire()
+	if t.Phase == wire.Running && k.tasks[t.Member.Member] == t {
+		k.finish(t, wire.CauseDone)
+		k.w.complete(id)
+		k.nudge()
 	}
 }
 
@@ -217,6 +262,9 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.deaf || k.hung {
+		panic(http.ErrAbortHandler)
+	}
 	k.expire()
 	status := 200
 	if r.URL.Path == "/do" {
