A term that is given up goes on until the next is known

Cause: a leader that hears no worker, or is refused alone, ended its term at once. With the state service down for all next, nobody follows: in TestCutLeader tasks ran 80 s after their users were told, since nobody returned the machines that only the old leader could reach. Change: resigning keeps the grant up no more and revokes it; the term goes on, sure of nothing, until it knows the next epoch, or a quarter of a lease after the state service could have had another leader. Tests: TestCutLeader, TestEndsFarApart; troubles in TestMeetings are told on failure.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -76,6 +76,8 @@
 	Before() lead.Map
 	Step(ctx context.Context, p history.Phase) error
 	Sure(now time.Time) bool
+	// Resigned is since when the term only waits for the next one, if it does.
+	Resigned() (since time.Time, ok bool)
 	Raise(ctx context.Context, parts []string) error
 }
 
--- a/internal/control/rules_test.go
+++ b/internal/control/rules_test.go
@@ -40,6 +40,7 @@
 	}
 	return nil
 }
+func (t *held) Resigned() (time.Time, bool)               { return time.Time{}, false }
 func (t *held) Before() lead.Map                          { return lead.Map{} }
 func (t *held) Step(context.Context, history.Phase) error { return nil }
 func (t *held) Sure(time.Time) bool                       { return true }
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -39,7 +39,6 @@
 		kick(r.flushes)
 		if deaf {
 			r.el.Resign(r.set.Lease(), "no worker is heard")
-			return errors.New("control: no worker is heard")
 		}
 		for _, h := range poll {
 			r.group.Go(func() error { r.poll(ctx, h); return nil })
@@ -618,22 +617,29 @@
 	return 1
 }
 
-// watchParts has the hosts parted anew when a node comes or goes, and hands
-// over when the state service refuses this node alone: at the next leader's epoch, or once
-// it answers here again, for then the grant is over.
+// watchParts has the hosts parted anew when a node comes or goes, and hands over when
+// the state service refuses this node alone. A term that was given up goes on until the
+// next one is known, or, should nobody else lead, until a quarter of a lease after the state service
+// could have had one.
 func (r *reign) watchParts(ctx context.Context) error {
-	yielded := false
+	refused := r.began
 	for sleep(ctx, r.set.Report()/6) {
+		now := r.now()
 		if m := r.el.Known(); m.Epoch > r.term.Epoch() && m.Leader != r.set.Node {
 			return fmt.Errorf("%w: %s leads under epoch %d", lead.ErrDeposed, m.Leader, m.Epoch)
 		}
-		if node, alone := r.parts.Alone(); alone {
-			if !yielded {
-				r.el.Yield(r.set.Lease()/4, "the state service serves "+node+" but not this node")
+		if r.parts.Refused() {
+			refused = now
+		}
+		if since, ok := r.term.Resigned(); ok {
+			if now.Sub(since) > r.set.Lease()/4 && now.Sub(refused) > r.set.Lease()/4 {
+				return errors.New("control: resigned, and nobody else leads")
 			}
-			yielded = true
-		} else if yielded && !r.parts.Refused() {
-			return errors.New("control: the state service answers again, and the lead was given up")
+			continue
+		}
+		if node, alone := r.parts.Alone(); alone {
+			r.el.Resign(r.set.Lease()/4, "the state service serves "+node+" but not this node")
+			continue
 		}
 		have := r.term.Map().Parts
 		// A raise without an answer may have been carried out late: owners then know
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -85,6 +85,21 @@
 	now        Map
 	epochStamp uint64
 	until      time.Time // the grant lasts until then at least
+	resigned   time.Time // the grant is kept no more since then; zero: it is
+}
+
+// Resigned is since when the term only waits for the next one, if it does.
+func (t *Term) Resigned() (since time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.resigned, !t.resigned.IsZero()
+}
+
+// give notes that the grant is kept no more. Nothing is sure from then on.
+func (t *Term) give() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.resigned, t.until = time.Now(), time.Time{}
 }
 
 // Sure tells whether nobody else can lead at present. What the state service
@@ -102,6 +117,9 @@
 func (t *Term) lasts(sent time.Time, life time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.resigned.IsZero() {
+		return
+	}
 	t.until = sent.Add(life - life/500)
 }
 
@@ -380,26 +398,16 @@
 	}
 }
 
-// Resign gives the leadership up and does not seek it again for a while.
+// Resign gives the leadership up to whoever is next, and does not seek it again for a
+// while: its grant is kept no more. The term goes on until there is a next, which cannot
+// be while the state service answers nobody: somebody has to answer the workers meanwhile
+// and to see that what users withdrew is gone.
 func (e *Elector) Resign(rest time.Duration, why string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.rest = time.Now().Add(rest)
-	if e.resign != nil {
-		e.resign(fmt.Errorf("resigned: %s", why))
-	}
-}
-
-// Yield gives the leadership up to whoever is next, and does not seek it again for a
-// while: its grant is renewed no more. Until there is a next, which cannot be while the
-// state service answers nobody, the term goes on: somebody has to answer the workers and
-// to stop what users withdrew.
-func (e *Elector) Yield(rest time.Duration, why string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.rest = time.Now().Add(rest)
 	if e.yield != nil {
-		e.log.Info("yielding", "why", why)
+		e.log.Info("resigned", "why", why)
 		e.yield()
 		e.yield = nil
 	}
@@ -618,6 +626,11 @@
 		cancel(serve(tctx, t))
 	}()
 	go e.renew(kept, t, cancel)
+	<-kept.Done()
+	if tctx.Err() == nil {
+		t.give()
+		e.revoke(ctx, t) // the next need not wait for the grant's end
+	}
 	<-tctx.Done()
 	<-done
 	e.setLeader("")
@@ -625,6 +638,13 @@
 	e.resign, e.yield = nil, nil
 	e.mu.Unlock()
 	e.log.Info("no longer leading", "epoch", t.First, "why", context.Cause(tctx))
+	if _, gave := t.Resigned(); !gave {
+		e.revoke(ctx, t)
+	}
+}
+
+// revoke ends a term's grant, if the state service answers at all.
+func (e *Elector) revoke(ctx context.Context, t *Term) {
 	rctx, stop := context.WithTimeout(context.WithoutCancel(ctx), e.life/2)
 	defer stop()
 	e.st.Revoke(rctx, t.ticket)
--- a/internal/sim/meeting_test.go
+++ b/internal/sim/meeting_test.go
@@ -30,6 +30,7 @@
 	ctx    context.Context
 	began  time.Time
 	fate   fate
+	told   []string // what troubles came
 }
 
 // refuse has the state service refuse a controller alone, or ends that.
@@ -365,7 +366,6 @@
 	for seed := range seeds(10) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			rnd := rand.New(rand.NewPCG(seed, 11))
-			var told []string
 			meets(t, seed, 24, func(m *meeting) {
 				for range 4 {
 					var wg sync.WaitGroup
@@ -375,16 +375,13 @@
 						if l := m.st.leads(); rnd.IntN(3) > 0 && l >= 0 {
 							n = l
 						}
-						told = append(told, fmt.Sprintf("%v: %s, host-%d, for %v", time.Since(m.began)+after, x.name, n, long))
+						m.told = append(m.told, fmt.Sprintf("%v: %s, host-%d, for %v", time.Since(m.began)+after, x.name, n, long))
 						wg.Go(func() { time.Sleep(after); x.play(m, n, long) })
 					}
 					wg.Wait()
 					time.Sleep(time.Duration(rnd.IntN(10)) * time.Second)
 				}
 			})
-			if t.Failed() {
-				t.Log(strings.Join(told, "\n"))
-			}
 		})
 	}
 }
@@ -397,6 +394,7 @@
 		rnd := rand.New(rand.NewPCG(seed, 12))
 		ctx, w, st, cl, cs, end := begin(t, seed, 60, 6, "")
 		m := &meeting{T: t, w: w, st: st, cl: cl, cs: cs, ctx: ctx, began: time.Now()}
+		w.spread = 0.8
 		for i := range jobs {
 			j := wire.Job{Ref: ref(i), Class: "c", Owner: "ab"[i%2 : i%2+1], Shape: wire.Batch, Rank: "standard", Members: 2 + rnd.IntN(2), Cores: 1, RAM: 1, Bundle: "img", Loaners: i%3 == 0, ExpectS: float64(5 + rnd.IntN(120))}
 			withdraw := time.Duration(0)
@@ -423,5 +421,113 @@
 				t.Errorf("%s is %q at the end", r, got)
 			}
 		}
+		if t.Failed() {
+			t.Log(strings.Join(m.told, "\n"))
+		}
 	})
 }
+
+// The tasks of a job of two or three end far apart, and the leader changes between: what
+// was done is done, and done once, and the job is done with its last task.
+func TestEndsFarApart(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(m *meeting)
+	}{
+		{"it crashes", func(m *meeting) { m.end(max(0, m.st.leads()), 5*time.Second) }},
+		{"it is back at once", func(m *meeting) { m.end(max(0, m.st.leads()), 50*time.Millisecond) }},
+		{"it is refused alone", func(m *meeting) {
+			n := max(0, m.st.leads())
+			m.st.refuseAlone(name(n), true)
+			time.Sleep(15 * time.Second)
+			m.st.refuseAlone(name(n), false)
+		}},
+		{"all end, and one returns", func(m *meeting) {
+			for n := range nodes {
+				m.cs[n].crash()
+			}
+			time.Sleep(300 * time.Millisecond)
+			m.cs[1] = m.w.boot(1)
+			time.Sleep(20 * time.Second)
+			m.cs[0], m.cs[2] = m.w.boot(0), m.w.boot(2)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, w, st, cl, cs, end := begin(t, 3, 40, 6, "")
+				w.spread = 4
+				m := &meeting{T: t, w: w, st: st, cl: cl, cs: cs, ctx: ctx}
+				for i := range 9 {
+					w.submit(ctx, wire.Job{Ref: ref(i), Class: "c", Owner: "ab"[i%2 : i%2+1], Shape: wire.Batch, Rank: "standard", Members: 2 + i%2, Cores: 1, RAM: 1, Bundle: "img", ExpectS: 8 + 1.7*float64(i)}, 0, 0)
+				}
+				time.Sleep(22 * time.Second) // the first of some are done, of others about to be
+				for range 4 {
+					tc.change(m)
+					time.Sleep(17 * time.Second)
+				}
+				time.Sleep(220 * time.Second)
+				end()
+				for _, b := range w.breaches {
+					t.Error(b)
+				}
+				for i := range 9 {
+					if r := ref(i); w.told[r] != wire.Done {
+						t.Errorf("%s is %q", r, w.told[r])
+					}
+				}
+				if want := 5*2 + 4*3; w.starts != want {
+					t.Errorf("%d starts of %d tasks", w.starts, want)
+				}
+			})
+		})
+	}
+}
+
+// A leader is cut off from the state service and the other controllers while workers and
+// users reach it, and jobs are withdrawn through the one that leads next.
+func TestCutLeader(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		after  time.Duration // the cut, until users withdraw
+		only   bool          // workers reach nobody but the old leader
+		outage time.Duration // of the state service, beginning with the first withdrawal told; 0: none
+		deaf   bool          // machines don't hear the new leader's answers
+	}{
+		{"before another leads", time.Second, false, 0, false},
+		{"once another leads", 8 * time.Second, false, 0, false},
+		{"workers reach only the old one", 8 * time.Second, true, 0, false},
+		{"workers reach only the old one, and the state service is down", 8 * time.Second, true, 2 * cancel, false},
+		{"machines do not hear, and the state service is down", 8 * time.Second, false, 2 * cancel, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			holds(t, 9, false, func(m *meeting) {
+				other := (m.leader + 1) % nodes
+				machines := m.some(1)
+				m.alone(m.leader, true)
+				m.w.net.cut(name(m.leader), "state", true)
+				if tc.only {
+					go m.apart(others(m.leader), machines, 3*cancel)
+				}
+				if tc.deaf {
+					go m.strike(machines, lease/2, func(k *worker, on bool) { k.deaf = on })
+				}
+				time.Sleep(tc.after)
+				for i := range 4 {
+					for n := 0; !m.withdraw(other, ref(i)) && n < 30; n++ {
+						time.Sleep(time.Second)
+					}
+				}
+				if len(m.w.gone) == 0 {
+					m.Error("nobody was told of a withdrawal")
+				}
+				m.st.outage(tc.outage > 0)
+				time.Sleep(2 * cancel)
+				m.w.linger()
+				m.st.outage(false)
+				m.w.net.cut(name(m.leader), "state", false)
+				m.alone(m.leader, false)
+				time.Sleep(cancel)
+			})
+		})
+	}
+}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -66,6 +66,7 @@
 	limit    float64               // of each team, in CPUs
 	upgraded [nodes]bool           // told of the lower limits to come
 	starts   int
+	spread   float64      // how much longer each task of a job runs than the one before it, as a ratio to the first
 	echoes   float64      // share of the reports of which a copy arrives again, late
 	most     int          // machines of a kind and zone
 	sockets  int          // of a controller; 0: plenty
@@ -205,7 +206,6 @@
 	w.net.reset(name)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.hung = false
 	k.clear()
 	k.sent = time.Now().Add(time.Hour) // it is off: nothing happens there any more
 }
--- a/internal/sim/worker_test.go
+++ b/internal/sim/worker_test.go
@@ -39,7 +39,7 @@
 	node   int
 	wake   chan struct{}
 	deaf   bool // answers and commands to it are lost
-	hung   bool // it stands still, and may go on later
+	hung   bool // it stands still, and may go on within its lease; past that nothing is left to go on
 }
 
 func (k *worker) report() wire.Report {
@@ -54,7 +54,7 @@
 
 // expire ends the session once the lease is over; run it with the lock held.
 func (k *worker) expire() {
-	if k.hung || time.Since(k.sent) <= lease {
+	if time.Since(k.sent) <= lease {
 		return
 	}
 	k.clear()
@@ -89,9 +89,6 @@
 			k.mu.Lock()
 			k.expire()
 			left := lease - time.Since(k.sent) + time.Millisecond
-			if k.hung {
-				left = time.Second
-			}
 			k.mu.Unlock()
 			select {
 			case <-ctx.Done():
@@ -235,7 +232,8 @@
 	t.Phase = wire.Running
 	k.nudge()
 	if j.Shape == wire.Batch {
-		t.timer = time.AfterFunc(time.Duration(j.ExpectS*float64(time.Second)), func() { k.complete(t, id) })
+		long := j.ExpectS * (1 + k.w.spread*float64(id.Index))
+		t.timer = time.AfterFunc(time.Duration(long*float64(time.Second)), func() { k.complete(t, id) })
 	}
 }
 
