--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -629,6 +629,7 @@
 	<-kept.Done()
 	if tctx.Err() == nil {
 		t.give()
+		e.setLeader("")
 		e.revoke(ctx, t) // the next need not wait for the grant's end
 	}
 	<-tctx.Done()
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -49,6 +49,15 @@
 			t.Errorf("after %v: %v", tc.at, got)
 		}
 	}
+	// Once it is given up it is sure no more, whatever extension is answered after.
+	if _, ok := term.Resigned(); ok {
+		t.Error("resigned from the start")
+	}
+	term.give()
+	term.lasts(t0, 2*time.Second)
+	if _, ok := term.Resigned(); !ok || term.Sure(t0) {
+		t.Errorf("given up: %v, sure: %v", ok, term.Sure(t0))
+	}
 }
 
 // Every write of a leader guards its key and its history; where versions that keep no
--- a/internal/serve/front.go
+++ b/internal/serve/front.go
@@ -218,6 +218,17 @@
 	}
 }
 
+// leads reads from the state service who leads now.
+func (d *daemon) leads(ctx context.Context) (string, error) {
+	epoch, err := d.el.Stored(ctx)
+	m := d.el.Known()
+	if err == nil && epoch != m.Epoch {
+		// Another was elected since, or the state service is behind what is known.
+		err = fmt.Errorf("epoch %d is stored, %d is known", epoch, m.Epoch)
+	}
+	return m.Leader, err
+}
+
 // settle notes the withdrawals that a new leader found.
 func (d *daemon) settle(refs []string) {
 	if d.gone.Add("", refs...) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -113,10 +113,7 @@
 	}
 	d.mesh = peer.NewMesh(set.Members, d, set.Report()/6, int(op.Limits.Sockets*float64(facts.Resources.Sockets)/2), dial(set, tls, nw.Dial), log)
 	d.part.Link(d.mesh)
-	d.teller = &withdrawn.Teller{Node: set.Node, Notices: d.gone, Link: d.mesh, Leads: func() bool { return d.control.Heed() }, Leader: func(ctx context.Context) (string, error) {
-		_, err := d.el.Stored(ctx)
-		return d.el.Known().Leader, err
-	}}
+	d.teller = &withdrawn.Teller{Node: set.Node, Notices: d.gone, Link: d.mesh, Leads: func() bool { return d.control.Heed() }, Leader: d.leads}
 	var ring *keyring.Ring
 	if a := &op.Access; a.Identified() || a.Audited() {
 		var err error
