--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -29,6 +29,7 @@
 		}
 		r.mu.Lock()
 		now := r.now()
+		r.heed()
 		r.expire(now)
 		r.evacuate(now)
 		deaf := r.deaf(now)
@@ -54,7 +55,7 @@
 func (r *reign) expire(now time.Time) {
 	over := r.leaseOver()
 	for _, h := range r.hosts {
-		if h.Heard.IsZero() || h.Sole == 0 || h.Epoch < h.Sole || now.Sub(h.Heard) < over || now.Sub(h.Shown) < over {
+		if h.Heard.IsZero() || h.Sole == 0 || h.Epoch < h.Sole || now.Sub(h.Answered) < over || now.Sub(h.Shown) < over {
 			continue
 		}
 		for _, c := range r.led.OnHost(h.Name) {
@@ -116,7 +117,6 @@
 		return
 	}
 	r.mu.Lock()
-	h.Polled = r.now()
 	r.report(rep)
 	r.mu.Unlock()
 	if rep.Epoch < r.term.Epoch() {
@@ -157,14 +157,20 @@
 }
 
 // reclaim returns faulty machines. It has a duty of its own: what ran on a dead
-// machine waits for its return, and renting can take many requests.
+// machine waits for its return, and renting can take many requests. Where this leader
+// may have been replaced it returns only what a withdrawn task would outlive its time on:
+// that ends tasks, and can start none.
 func (r *reign) reclaim(ctx context.Context) error {
 	for sleep(ctx, r.set.Report()/6) {
-		if !r.term.Sure(r.now()) {
-			continue
-		}
 		r.mu.Lock()
-		bad := r.faulty(r.now())
+		now := r.now()
+		sure := r.term.Sure(now)
+		var bad []string
+		if sure {
+			bad = r.faulty(now)
+		} else {
+			bad = r.overdue(now)
+		}
 		bad = bad[:min(len(bad), maxRelease)]
 		for _, name := range bad {
 			if r.gone[name].IsZero() {
@@ -172,7 +178,7 @@
 			}
 		}
 		r.mu.Unlock()
-		if len(bad) > 0 && r.term.Sure(r.now()) {
+		if len(bad) > 0 && (!sure || r.term.Sure(r.now())) {
 			r.release(ctx, bad)
 		}
 	}
@@ -410,11 +416,10 @@
 			why = "again" // its release was not answered
 		case listed && l.Phase == wire.HostFailed:
 			why = "failed"
+		case r.outlives(h, now):
+			why = "withdrawn task"
 		case r.cutOff(h, now):
-			switch {
-			case r.outlives(h, now):
-				why = "withdrawn task"
-			case len(claims) > 0 && r.deserted(h, now):
+			if len(claims) > 0 && r.deserted(h, now) {
 				why = "lease over"
 			}
 		case (!h.Heard.IsZero() || !h.Running.IsZero()) && r.quietFor(h, now) > silence,
@@ -614,19 +619,26 @@
 }
 
 // watchParts has the hosts parted anew when a node comes or goes, and hands
-// over when the state service refuses this node alone.
+// over when the state service refuses this node alone: at the next leader's epoch, or once
+// it answers here again, for then the grant is over.
 func (r *reign) watchParts(ctx context.Context) error {
+	yielded := false
 	for sleep(ctx, r.set.Report()/6) {
 		if m := r.el.Known(); m.Epoch > r.term.Epoch() && m.Leader != r.set.Node {
 			return fmt.Errorf("%w: %s leads under epoch %d", lead.ErrDeposed, m.Leader, m.Epoch)
 		}
 		if node, alone := r.parts.Alone(); alone {
-			why := "the state service serves " + node + " but not this node"
-			r.el.Resign(r.set.Lease()/4, why)
-			return errors.New(why)
+			if !yielded {
+				r.el.Yield(r.set.Lease()/4, "the state service serves "+node+" but not this node")
+			}
+			yielded = true
+		} else if yielded && !r.parts.Refused() {
+			return errors.New("control: the state service answers again, and the lead was given up")
 		}
 		have := r.term.Map().Parts
-		if !slices.Equal(have, r.parts.Fit(have)) {
+		// A raise without an answer may have been carried out late: owners then know
+		// its epoch, and so do workers, whose reports this leader would turn away.
+		if !slices.Equal(have, r.parts.Fit(have)) || r.el.Known().Epoch > r.term.Epoch() {
 			kick(r.raises)
 		}
 	}
--- a/internal/serve/front.go
+++ b/internal/serve/front.go
@@ -23,6 +23,7 @@
 	"rillflow/internal/rights"
 	"rillflow/internal/state"
 	"rillflow/internal/wire"
+	"rillflow/internal/withdrawn"
 )
 
 // routes are all requests at the front address.
@@ -192,6 +193,52 @@
 
 func (d *daemon) Recall(a copies.Ask) copies.Page { return d.copies.Page(a) }
 
+// Withdrawn, Reached and Linked have withdrawals known to all controllers.
+
+func (d *daemon) Withdrawn(n *withdrawn.Note) withdrawn.Ack {
+	return d.gone.Take(n, d.control.Heed)
+}
+
+func (d *daemon) Reached(ctx context.Context, node string) {
+	d.gone.Begins(node)
+	d.compare(ctx, node)
+}
+
+// compare tells a peer all withdrawals that this node knows of, and hears all that the
+// peer does.
+func (d *daemon) compare(ctx context.Context, node string) {
+	refs := d.gone.All()
+	a, err := d.mesh.Note(ctx, node, &withdrawn.Note{From: d.set.Node, Refs: refs, All: true, Settled: d.gone.Settled()})
+	if err != nil || !a.Taken {
+		return // Linked goes on
+	}
+	d.gone.Knows(node, refs)
+	if d.gone.Add(node, a.Refs...) && a.Settled {
+		d.gone.Inherit()
+	}
+}
+
+// settle notes the withdrawals that a new leader found.
+func (d *daemon) settle(refs []string) {
+	if d.gone.Add("", refs...) {
+		d.gone.Inherit()
+	}
+}
+
+func (d *daemon) Linked(ctx context.Context, node string) {
+	if !d.gone.Settled() {
+		d.compare(ctx, node) // the peer may be by now, a new leader above all
+		return
+	}
+	refs := d.gone.Unknown(node)
+	if len(refs) == 0 {
+		return
+	}
+	if a, err := d.mesh.Note(ctx, node, &withdrawn.Note{From: d.set.Node, Refs: refs}); err == nil && a.Taken {
+		d.gone.Knows(node, refs)
+	}
+}
+
 // Ping, Pinged, Beat, Pick, User and Counts are what peers ask of this node.
 
 func (d *daemon) Ping() peer.Ping {
