--- a/internal/sim/loss_test.go
+++ b/internal/sim/loss_test.go
@@ -33,7 +33,7 @@
 	w  *world
 	st *store
 	cl *cloud
-	cs *[nodes]*node
+	cs []*node
 }
 
 func (d *lossDay) leader() int {
@@ -297,14 +297,15 @@
 	t.Logf("%d of %d tasks run on or are done, %d of %d jobs told to an end, %d breaches", kept, len(before), ends, len(w.jobs), len(w.breaches))
 }
 
-// Losses among all other faults, one after the other, some within seconds; but not with all
+// Losses among all other faults, one after the other, some within seconds, with three to
+// seven controllers; but not with all
 // controllers ending at once, after which nobody remembers: TestWorkersAlone has that. Few days in CI:
 // of some hundred, one may show what docs/rebuild.md says is left. SIM_SEEDS plays more.
 func TestLossesFallTogether(t *testing.T) {
 	for seed := range seeds(2) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				breaches, w := playWith(t, 1000+seed, seed%2 == 1, []int{0, 1, 2, 3, 4, 5, 6, 7, loseAll, loseLast, loseSome}, "", nil)
+				breaches, w := playWith(t, 1000+seed, nodes+int(seed%5), seed%2 == 1, []int{0, 1, 2, 3, 4, 5, 6, 7, loseAll, loseLast, loseSome}, "", nil)
 				for _, b := range breaches {
 					t.Error(b)
 				}
--- a/internal/sim/meeting_test.go
+++ b/internal/sim/meeting_test.go
@@ -24,7 +24,7 @@
 	w      *world
 	st     *store
 	cl     *cloud
-	cs     *[nodes]*node
+	cs     []*node
 	leader int // at the start
 	client *http.Client
 	ctx    context.Context
@@ -46,7 +46,7 @@
 // leads is the controller that the state service names as the leader.
 func (s *store) leads() int {
 	l := s.get("lead")
-	for n := range nodes {
+	for n := range 9 {
 		if strings.Contains(l, name(n)) {
 			return n
 		}
@@ -56,7 +56,7 @@
 
 // alone cuts a controller off from the others.
 func (m *meeting) alone(n int, on bool) {
-	for o := range nodes {
+	for o := range m.w.size {
 		if o != n {
 			m.w.net.cut(name(n), name(o), on)
 		}
@@ -222,7 +222,7 @@
 }
 
 // fate keeps two troubles from ending or starting one process at once.
-type fate [nodes]sync.Mutex
+type fate [9]sync.Mutex
 
 func (m *meeting) end(n int, long time.Duration) {
 	if !m.fate[n].TryLock() {
@@ -280,8 +280,8 @@
 }
 
 // others are the other controllers.
-func others(n int) (out []string) {
-	for o := range nodes {
+func (m *meeting) others(n int) (out []string) {
+	for o := range m.w.size {
 		if o != n {
 			out = append(out, name(o))
 		}
@@ -331,13 +331,13 @@
 		m.strike(m.some(0.5), long, func(k *worker, on bool) { k.hung = on })
 	}},
 	{"cut from the state service", func(m *meeting, n int, long time.Duration) { m.apart([]string{name(n)}, []string{"state"}, long) }},
-	{"cut from peers", func(m *meeting, n int, long time.Duration) { m.apart([]string{name(n)}, others(n), long) }},
+	{"cut from peers", func(m *meeting, n int, long time.Duration) { m.apart([]string{name(n)}, m.others(n), long) }},
 	{"cut from both", func(m *meeting, n int, long time.Duration) {
-		m.apart([]string{name(n)}, append(others(n), "state"), long)
+		m.apart([]string{name(n)}, append(m.others(n), "state"), long)
 	}},
 	{"cut from machines", func(m *meeting, n int, long time.Duration) { m.apart([]string{name(n)}, m.some(0.7), long) }},
 	{"machines out of reach", func(m *meeting, n int, long time.Duration) {
-		m.apart(m.some(0.5), append(others(n), name(n)), long)
+		m.apart(m.some(0.5), append(m.others(n), name(n)), long)
 	}},
 	{"zone cut", func(m *meeting, n int, long time.Duration) {
 		m.w.cutZone(m.cl, zoneOf(n), true)
@@ -347,7 +347,7 @@
 	{"crash", func(m *meeting, n int, long time.Duration) { m.end(n, m.w.away()) }},
 	{"all crash", func(m *meeting, n int, long time.Duration) {
 		var wg sync.WaitGroup
-		for n := range nodes {
+		for n := range m.w.size {
 			wg.Go(func() { m.end(n, m.w.away()) })
 		}
 		wg.Wait()
@@ -366,11 +366,13 @@
 	for seed := range seeds(10) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			rnd := rand.New(rand.NewPCG(seed, 11))
-			meets(t, seed, 24, func(m *meeting) {
+			// Three controllers, or up to seven on every other day.
+			size := nodes + int(seed%2)*(1+int(seed/2)%4)
+			meets(t, seed, size, 24, func(m *meeting) {
 				for range 4 {
 					var wg sync.WaitGroup
 					for range 2 + rnd.IntN(2) {
-						x, n := troubles[rnd.IntN(len(troubles))], rnd.IntN(nodes)
+						x, n := troubles[rnd.IntN(len(troubles))], rnd.IntN(m.w.size)
 						after, long := time.Duration(rnd.IntN(8000))*time.Millisecond, time.Duration(2000+rnd.IntN(1<<uint(12+rnd.IntN(5))))*time.Millisecond
 						if l := m.st.leads(); rnd.IntN(3) > 0 && l >= 0 {
 							n = l
@@ -388,11 +390,11 @@
 
 // meets plays a day of troubles with jobs of long tasks coming all the while and every
 // second of them withdrawn, until everybody has had an answer.
-func meets(t *testing.T, seed uint64, jobs int, troubles func(m *meeting)) {
+func meets(t *testing.T, seed uint64, size, jobs int, troubles func(m *meeting)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		rnd := rand.New(rand.NewPCG(seed, 12))
-		ctx, w, st, cl, cs, end := begin(t, seed, 60, 6, "")
+		ctx, w, st, cl, cs, end := beginWith(t, seed, size, 60, 6, "")
 		m := &meeting{T: t, w: w, st: st, cl: cl, cs: cs, ctx: ctx, began: time.Now()}
 		w.spread = 0.8
 		for i := range jobs {
@@ -443,7 +445,7 @@
 			m.st.refuseAlone(name(n), false)
 		}},
 		{"all end, and one returns", func(m *meeting) {
-			for n := range nodes {
+			for n := range m.w.size {
 				m.cs[n].crash()
 			}
 			time.Sleep(300 * time.Millisecond)
@@ -506,7 +508,7 @@
 				m.alone(m.leader, true)
 				m.w.net.cut(name(m.leader), "state", true)
 				if tc.only {
-					go m.apart(others(m.leader), machines, 3*cancel)
+					go m.apart(m.others(m.leader), machines, 3*cancel)
 				}
 				if tc.deaf {
 					go m.strike(machines, lease/2, func(k *worker, on bool) { k.deaf = on })
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -28,7 +28,7 @@
 )
 
 const (
-	nodes  = 3
+	nodes  = 3 // controllers, where a day does not say otherwise
 	report = 3 * time.Second
 	lease  = 24 * time.Second
 	cancel = 40 * time.Second
@@ -38,7 +38,7 @@
 var clockOff = map[string]time.Duration{"host-0": time.Second, "host-1": -time.Second, "host-2": 300 * time.Millisecond}
 
 // zoneOf is the zone of a controller.
-func zoneOf(n int) string { return []string{"a", "b", "a"}[n] }
+func zoneOf(n int) string { return []string{"a", "b", "a"}[n%3] }
 
 func front(n int) string { return fmt.Sprintf("front-%d:80", n) }
 func back(n int) string  { return fmt.Sprintf("back-%d:81", n) }
@@ -64,7 +64,8 @@
 	taken    map[string]time.Time  // when first told accepted
 	again    func(ref string) bool // whether a user submits again now, though accepted
 	limit    float64               // of each team, in CPUs
-	upgraded [nodes]bool           // told of the lower limits to come
+	size     int                   // controllers
+	upgraded map[int]bool          // controllers told of the lower limits to come
 	starts   int
 	spread   float64      // how much longer each task of a job runs than the one before it, as a ratio to the first
 	echoes   float64      // share of the reports of which a copy arrives again, late
@@ -186,7 +187,7 @@
 
 func (w *world) start(h wire.ListedHost) {
 	ctx, cancel := context.WithCancel(w.ctx)
-	k := &worker{w: w, h: h, cancel: cancel, tenure: 1, sent: time.Now(), tasks: map[string]*task{}, node: w.intN(nodes), wake: make(chan struct{}, 1),
+	k := &worker{w: w, h: h, cancel: cancel, tenure: 1, sent: time.Now(), tasks: map[string]*task{}, node: w.intN(w.size), wake: make(chan struct{}, 1),
 		client: &http.Client{Transport: &http.Transport{DialContext: w.net.at(h.Ref).Dial}}}
 	w.mu.Lock()
 	w.workers[h.Ref] = k
@@ -245,7 +246,7 @@
 	if w.upgraded[n] {
 		s.Facts.State.Next = &settings.NextState{WriteRPS: 35, ValueKB: lowValue / 1024., TxnOps: lowOps}
 	}
-	for m := range nodes {
+	for m := range w.size {
 		if m != n {
 			s.Members = append(s.Members, settings.Member{Node: fmt.Sprintf("host-%d", m), Zone: zoneOf(m), Endpoint: back(m)})
 		}
@@ -313,7 +314,7 @@
 	cl.mu.Unlock()
 	for _, on := range []bool{true, false} {
 		for _, h := range hosts {
-			for n := range nodes {
+			for n := range w.size {
 				w.net.cut(fmt.Sprintf("host-%d", n), h, on)
 			}
 		}
@@ -344,7 +345,7 @@
 	ask := func(method, path string, body []byte) (int, string) {
 		rctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 		defer cancel()
-		req, _ := http.NewRequestWithContext(rctx, method, "http://"+front(w.intN(nodes))+path, bytes.NewReader(body))
+		req, _ := http.NewRequestWithContext(rctx, method, "http://"+front(w.intN(w.size))+path, bytes.NewReader(body))
 		res, err := client.Do(req)
 		if err != nil {
 			return 0, ""
@@ -474,11 +475,16 @@
 
 // begin sets up a world of controllers and what they need, with a limit for each
 // team and as many machines of a kind as the most. end takes it down again.
-func begin(t testing.TB, seed uint64, limit float64, most int, operator string) (ctx context.Context, w *world, st *store, cl *cloud, cs *[nodes]*node, end func()) {
+func begin(t testing.TB, seed uint64, limit float64, most int, operator string) (ctx context.Context, w *world, st *store, cl *cloud, cs []*node, end func()) {
+	return beginWith(t, seed, nodes, limit, most, operator)
+}
+
+// beginWith is begin with so many controllers.
+func beginWith(t testing.TB, seed uint64, size int, limit float64, most int, operator string) (ctx context.Context, w *world, st *store, cl *cloud, cs []*node, end func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	w = &world{t: t, ctx: ctx, limit: limit, rnd: rand.New(rand.NewPCG(seed, 6)), net: newNetwork(rand.New(rand.NewPCG(seed, 8))), workers: map[string]*worker{}, jobs: map[string]wire.Job{},
 		where: map[ledger.Task]string{}, used: map[string]float64{}, done: map[ledger.Task]bool{}, told: map[string]string{}, gone: map[string]time.Time{}, asked: map[string]bool{}, accepted: map[string]chan struct{}{}, taken: map[string]time.Time{}, ran: map[run]bool{}, operator: operator}
-	w.most = most
+	w.most, w.size, w.upgraded = most, size, make(map[int]bool)
 	st = newStore(rand.New(rand.NewPCG(seed, 9)), w.broke)
 	w.store = st
 	cl = &cloud{w: w, most: most, asks: map[string][]string{}, hosts: map[string]wire.ListedHost{}, seen: map[string]time.Time{}, count: map[string]int{},
@@ -489,8 +495,8 @@
 		servers = append(servers, srv)
 		go srv.Serve(w.net.listen(host, host+":1"))
 	}
-	cs = new([nodes]*node)
-	for n := range nodes {
+	cs = make([]*node, size)
+	for n := range size {
 		cs[n] = w.boot(n)
 	}
 	return ctx, w, st, cl, cs, func() {
@@ -528,7 +534,7 @@
 // controllers first come back one by one knowing of lower limits, which then
 // come into force while jobs laid out before are on hand.
 func play(t testing.TB, seed uint64, piped bool, operator string, tamper func(*world)) (breaches []string, w *world) {
-	return playWith(t, seed, piped, []int{0, 1, 2, 3, 4, 5, 6, 7, fallMany, fallOften, blinks, crawls}, operator, tamper)
+	return playWith(t, seed, nodes, piped, []int{0, 1, 2, 3, 4, 5, 6, 7, fallMany, fallOften, blinks, crawls}, operator, tamper)
 }
 
 // Kinds of faults beside those that playWith draws by number: losses of data in the state
@@ -544,10 +550,10 @@
 	crawls // the state service answers slowly
 )
 
-// playWith plays a day with faults of the kinds given.
-func playWith(t testing.TB, seed uint64, piped bool, kinds []int, operator string, tamper func(*world)) (breaches []string, w *world) {
+// playWith plays a day of so many controllers with faults of the kinds given.
+func playWith(t testing.TB, seed uint64, size int, piped bool, kinds []int, operator string, tamper func(*world)) (breaches []string, w *world) {
 	rnd := rand.New(rand.NewPCG(seed, 7))
-	ctx, w, st, cl, cs, stop := begin(t, seed, 24, 3, operator)
+	ctx, w, st, cl, cs, stop := beginWith(t, seed, size, 24, 3, operator)
 	began := time.Now()
 	for i := range 14 {
 		j := wire.Job{Ref: fmt.Sprintf("req-%06d", i), Class: "c", Owner: []string{"a", "b"}[i%2], Shape: wire.Batch, Rank: "standard",
@@ -567,14 +573,14 @@
 	time.Sleep(15 * time.Second)
 	if piped {
 		w.submit(ctx, wire.Job{Ref: "req-099999", Class: "s", Owner: "a", Shape: wire.Batch, Rank: "urgent", Members: 64, Cores: 0.25, RAM: 0.1, Bundle: "img", ExpectS: 60}, 0, 0)
-		for n := range nodes {
+		for n := range w.size {
 			cs[n].crash()
 			w.mu.Lock()
 			w.upgraded[n] = true
 			w.mu.Unlock()
 			time.Sleep(w.away())
 			cs[n] = w.boot(n)
-			if other := (n + 1) % nodes; rnd.IntN(2) == 0 { // before or after its turn
+			if other := (n + 1) % w.size; rnd.IntN(2) == 0 { // before or after its turn
 				cs[other].crash()
 				time.Sleep(w.away())
 				cs[other] = w.boot(other)
@@ -589,7 +595,7 @@
 		st.lower(lowValue, lowOps)
 	}
 	for range 8 {
-		n := rnd.IntN(nodes)
+		n := rnd.IntN(w.size)
 		name := fmt.Sprintf("host-%d", n)
 		switch kinds[rnd.IntN(len(kinds))] {
 		case loseAll:
@@ -603,12 +609,12 @@
 			time.Sleep(w.away())
 			cs[n] = w.boot(n)
 		case fallMany:
-			for m := range nodes {
+			for m := range w.size {
 				if m != n || rnd.IntN(2) == 0 {
 					cs[m].crash()
 				}
 			}
-			for m := range nodes {
+			for m := range w.size {
 				if cs[m].ended() {
 					time.Sleep(w.away() / 2)
 					cs[m] = w.boot(m)
@@ -644,11 +650,11 @@
 				}
 			}
 			cl.mu.Unlock()
-			for m := range nodes {
+			for m := range w.size {
 				w.net.cut(fmt.Sprintf("host-%d", m), host, true)
 			}
 			time.Sleep(time.Duration(5+rnd.IntN(40)) * time.Second)
-			for m := range nodes {
+			for m := range w.size {
 				w.net.cut(fmt.Sprintf("host-%d", m), host, false)
 			}
 		case 5: // a controller is refused alone
@@ -665,13 +671,13 @@
 			time.Sleep(time.Duration(5+rnd.IntN(60)) * time.Second)
 			w.cutZone(cl, zoneOf(n), false)
 		case 6: // peers are cut from one another
-			for m := range nodes {
+			for m := range w.size {
 				if m != n {
 					w.net.cut(name, fmt.Sprintf("host-%d", m), true)
 				}
 			}
 			time.Sleep(time.Duration(5+rnd.IntN(20)) * time.Second)
-			for m := range nodes {
+			for m := range w.size {
 				if m != n {
 					w.net.cut(name, fmt.Sprintf("host-%d", m), false)
 				}
@@ -695,7 +701,7 @@
 func (w *world) cutZone(cl *cloud, zone string, on bool) {
 	var in []string
 	out := []string{"state", "cloud", "user"}
-	for n := range nodes {
+	for n := range w.size {
 		name := fmt.Sprintf("host-%d", n)
 		if zoneOf(n) == zone {
 			in = append(in, name)
@@ -826,7 +832,7 @@
 		}
 		time.Sleep(35 * time.Second)
 		leader := 0
-		for n := range nodes {
+		for n := range w.size {
 			if l := st.get("lead"); strings.Contains(l, fmt.Sprintf("host-%d", n)) {
 				leader = n
 			}
--- a/internal/sim/teams_test.go
+++ b/internal/sim/teams_test.go
@@ -10,11 +10,11 @@
 )
 
 // reboot has all controllers begin anew, with what the test changed of the world.
-func (w *world) reboot(cs *[nodes]*node, change func()) {
+func (w *world) reboot(cs []*node, change func()) {
 	w.mu.Lock()
 	change()
 	w.mu.Unlock()
-	for n := range nodes {
+	for n := range w.size {
 		cs[n].crash()
 		cs[n] = w.boot(n)
 	}
--- a/internal/sim/worker_test.go
+++ b/internal/sim/worker_test.go
@@ -137,7 +137,7 @@
 	switch {
 	case ctx.Err() != nil:
 	case k.deaf || k.hung:
-		k.node = (node + 1) % nodes
+		k.node = (node + 1) % k.w.size
 		k.nudge()
 	case err == nil && res.StatusCode == 200:
 		var o wire.Orders
@@ -153,7 +153,7 @@
 		k.node = int(s.Steward[len("host-")] - '0')
 		k.nudge()
 	default:
-		k.node = (node + 1) % nodes
+		k.node = (node + 1) % k.w.size
 		k.nudge()
 	}
 }
