Mend: a withdrawal known by a notice is in the copies all the same

Cause: found by reading the change once more. The leader took a removed live key for told when its ledger already had the job withdrawn. With notices it has that ahead of the log, also while the state service refuses it, and so it did not read the end: the copies kept the job alive. Change: whether an end is to be read is told by the copy that lacks it, not by the ledger.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -248,8 +248,10 @@
 			// A job about to be done goes from the live keys by this
 			// leader's own write; were it withdrawn, that write fails.
 			ref := ch.Remove[len(ledger.LivePrefix):]
-			if j := r.led.Job(ref); j != nil && !j.Finished && !j.Withdrawn {
+			if r.untold(ref) {
 				over = append(over, ref)
+			}
+			if j := r.led.Job(ref); j != nil && !j.Finished {
 				r.withdraw(ref)
 			}
 		}
@@ -273,6 +275,21 @@
 	return ctx.Err()
 }
 
+// untold tells whether a job left the live keys other than by this leader's own write, and
+// the copy lacks its end. That the ledger has it withdrawn says nothing of that: a notice
+// may have come ahead of the log.
+func (r *reign) untold(ref string) bool {
+	tree, _ := r.copies.Tree() // not what this node took itself, which the others lack
+	if _, ok := tree.Get([]byte(ledger.EndedKey(ref))); ok {
+		return false
+	}
+	if j := r.led.Job(ref); j != nil {
+		return !j.Finished
+	}
+	_, live := tree.Get([]byte(ledger.LiveKey(ref))) // the ledger forgot it with its last claim
+	return live
+}
+
 // withdraw notes that a job left the live keys other than by being done.
 func (r *reign) withdraw(ref string) {
 	j := r.led.Job(ref)
--- a/internal/sim/meeting_test.go
+++ b/internal/sim/meeting_test.go
@@ -533,3 +533,42 @@
 		})
 	}
 }
+
+// A withdrawal that the leader heard of from another controller, ahead of the state service,
+// is in all copies nevertheless: the state service loses all, and who took the withdrawal has
+// ended. Taken for known, it was not read, and the job came back to life.
+func TestWithdrawalIsCopied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, w, st, cl, cs, end := begin(t, 7, 40, 6, "")
+		m := &meeting{T: t, w: w, st: st, cl: cl, cs: cs, ctx: ctx, client: &http.Client{Transport: &http.Transport{DialContext: w.net.at("user").Dial, DisableKeepAlives: true}}}
+		const jobs = 6
+		for i := range jobs {
+			w.submit(ctx, wire.Job{Ref: ref(i), Class: "c", Owner: "ab"[i%2 : i%2+1], Shape: wire.Standing, Rank: "production", Members: 2, Cores: 1, RAM: 1, Bundle: "img"}, 0, time.Hour)
+		}
+		time.Sleep(25 * time.Second)
+		leader := st.leads()
+		other := (leader + 1) % nodes
+		st.refuseAlone(name(leader), true) // for a moment: it leads on
+		for i := range jobs {
+			if !m.withdraw(other, ref(i)) {
+				t.Fatalf("%s was not withdrawn", ref(i))
+			}
+		}
+		st.refuseAlone(name(leader), false)
+		time.Sleep(report / 6) // the copies are told, and not yet checked against what is stored
+		cs[other].crash()
+		st.lose(wiped, 0, "")
+		time.Sleep(time.Second)
+		cs[other] = w.boot(other)
+		time.Sleep(90 * time.Second)
+		end()
+		for _, b := range w.breaches {
+			t.Error(b)
+		}
+		for i := range jobs {
+			if w.told[ref(i)] != wire.Withdrawn {
+				t.Errorf("%s is %q", ref(i), w.told[ref(i)])
+			}
+		}
+	})
+}
