Mend: telling of withdrawals in one place; one way to note a return, to refuse alone, to find the leader

Telling a peer and noting that it knows stood three times, two of them in serve, where the duty's own package lacked them; why a machine is returned was logged and recorded in three places; the epoch's key was decoded twice in a look; the simulation found the leader in three ways and had two copies of a refusal and of a late commit. Change: Reached, Linked and compare are the teller's, with a test; Inherit takes what it inherits; control holds the notices as the part does, and part uses control's error; Stored gives the map; returning, again, leads, refuseAlone serve all who need them. Has, used by tests alone, is gone.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -27,6 +27,7 @@
 	"rillflow/internal/silence"
 	"rillflow/internal/state"
 	"rillflow/internal/wire"
+	"rillflow/internal/withdrawn"
 )
 
 // Control serves terms, one at a time.
@@ -43,8 +44,7 @@
 	hist    *history.Keeper
 	copies  *copies.Copy
 	peers   copies.Peers
-	notices func() []string // jobs that this node knows to be withdrawn
-	found   func(refs []string)
+	notices *withdrawn.Notices
 	log     *slog.Logger
 	now     func() time.Time
 	cur     atomic.Pointer[reign]
@@ -95,18 +95,14 @@
 	History  *history.Keeper
 	Copies   *copies.Copy
 	Peers    copies.Peers
-	// Withdrawn are jobs whose withdrawal was committed lately, from wherever this node
-	// knows it; Settle notes those of which there are claims left, as a new leader read
-	// them, and that no others can have tasks.
-	Withdrawn func() []string
-	Settle    func(refs []string)
-	Log       *slog.Logger
+	Notices  *withdrawn.Notices // jobs whose withdrawal was committed lately
+	Log      *slog.Logger
 }
 
 // New makes a Control.
 func New(d Deps) *Control {
 	return &Control{set: d.Settings, st: d.State, cloud: d.Cloud, direct: d.Direct, el: d.Elector, types: d.Types, parts: d.Parts, full: d.Full, ring: d.Ring,
-		hist: d.History, copies: d.Copies, peers: d.Peers, notices: d.Withdrawn, found: d.Settle, log: d.Log, now: time.Now}
+		hist: d.History, copies: d.Copies, peers: d.Peers, notices: d.Notices, log: d.Log, now: time.Now}
 }
 
 // reign is the state of one term. Everything below mu is guarded by it.
@@ -171,7 +167,7 @@
 	r.mu.Lock()
 	r.rec.note(c.now(), audit.Entry{Act: audit.TookOver, On: c.set.Node, Why: fmt.Sprintf("epoch %d", term.First)})
 	if p := term.History().Phase; p == history.Whole || p == history.Open {
-		r.found(r.withdrawn())
+		r.notices.Inherit("", r.withdrawn()...)
 	}
 	r.mu.Unlock()
 	close(r.ready)
--- a/internal/control/heed.go
+++ b/internal/control/heed.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"rillflow/internal/agent"
-	"rillflow/internal/audit"
 	"rillflow/internal/settings"
 )
 
@@ -32,7 +31,7 @@
 
 // heed takes in the withdrawals that this node knows of.
 func (r *reign) heed() {
-	for _, ref := range r.notices() {
+	for _, ref := range r.notices.All() {
 		// Of a job about to be done nothing is left to stop, and its last write fails.
 		if j := r.led.Job(ref); j != nil && !j.Finished {
 			r.withdraw(ref)
@@ -77,8 +76,7 @@
 			continue
 		}
 		if _, leaving := r.gone[h.Name]; !leaving {
-			r.log.Info("returning", "host", h.Name, "why", "withdrawn task")
-			r.rec.note(now, audit.Entry{Act: audit.Returned, On: h.Name, Why: "withdrawn task"})
+			r.returning(h.Name, "withdrawn task", now)
 		}
 		out = append(out, h.Name)
 	}
--- a/internal/control/late_test.go
+++ b/internal/control/late_test.go
@@ -9,6 +9,7 @@
 	"rillflow/internal/lead"
 	"rillflow/internal/ledger"
 	"rillflow/internal/wire"
+	"rillflow/internal/withdrawn"
 )
 
 // What a report proves of a withdrawn task that it does not name, where messages may come
@@ -107,7 +108,8 @@
 			r.add("req-2", wire.Job{Class: "f", Members: 1, Cores: 2})
 			r.run(t, j, "h0", time.Minute)
 			r.run(t, r.led.Job("req-2"), "h1", time.Minute)
-			r.notices = func() []string { return []string{"req-1", "req-unknown"} }
+			r.notices = withdrawn.New(withdrawn.Options{Within: time.Minute, Max: 8, Refused: func() bool { return false }, Now: r.now})
+			r.notices.Add("", "req-1", "req-unknown")
 			r.heed()
 			if !j.Withdrawn || r.led.Job("req-2").Withdrawn {
 				t.Fatal("not withdrawn by the notice")
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -205,8 +205,7 @@
 			// Not a host that was given a task since it was looked at.
 			if len(r.led.OnHost(name)) == 0 {
 				bad = append(bad, name)
-				r.log.Info("returning", "host", name, "why", "idle")
-				r.rec.note(now, audit.Entry{Act: audit.Returned, On: name, Why: "idle"})
+				r.returning(name, "idle", now)
 			}
 		}
 		bad = bad[:min(len(bad), maxRelease)]
@@ -336,6 +335,12 @@
 	}
 }
 
+// returning tells why a machine is about to be returned.
+func (r *reign) returning(name, why string, now time.Time) {
+	r.log.Info("returning", "host", name, "why", why, "claims", len(r.led.OnHost(name)))
+	r.rec.note(now, audit.Entry{Act: audit.Returned, On: name, Why: why})
+}
+
 // release returns machines. The answer is proof that what was on them is gone.
 func (r *reign) release(ctx context.Context, names []string) {
 	err := r.cloud.Release(ctx, names)
@@ -441,8 +446,7 @@
 			continue
 		}
 		if why != "again" {
-			r.log.Info("returning", "host", h.Name, "why", why, "claims", len(claims))
-			r.rec.note(now, audit.Entry{Act: audit.Returned, On: h.Name, Why: why})
+			r.returning(h.Name, why, now)
 		}
 		out = append(out, h.Name)
 	}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -328,7 +328,7 @@
 		if after == 0 {
 			var it wire.Item
 			if it, err = e.st.Get(ctx, epochKey); err == nil {
-				err = e.learn(it.Data)
+				_, err = e.learn(it.Data)
 				after = it.Stamp
 			}
 		} else {
@@ -337,7 +337,8 @@
 				after = max(after, log.Generation)
 				for _, c := range log.Log {
 					if c.Put == epochKey {
-						err = errors.Join(err, e.learn(c.Data))
+						_, bad := e.learn(c.Data)
+						err = errors.Join(err, bad)
 					}
 				}
 			} else if errors.Is(err, state.ErrTooOld) {
@@ -354,32 +355,28 @@
 	return ctx.Err()
 }
 
-func (e *Elector) learn(data []byte) error {
-	var m Map
+// learn takes in a map as it is stored.
+func (e *Elector) learn(data []byte) (m Map, err error) {
 	if err := json.Unmarshal(data, &m); err != nil {
-		return err
+		return Map{}, err
 	}
 	e.Learn(m)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stored = e.stored || m.Epoch == e.known.Epoch
-	return nil
+	return m, nil
 }
 
-// Stored is the epoch that the state service holds; 0 if none.
-func (e *Elector) Stored(ctx context.Context) (uint64, error) {
+// Stored is the map that the state service holds; of epoch 0 if none.
+func (e *Elector) Stored(ctx context.Context) (Map, error) {
 	it, err := e.st.Get(ctx, epochKey)
-	if errors.Is(err, state.ErrNotFound) {
-		return 0, nil
-	}
-	var m Map
-	if err == nil {
-		err = json.Unmarshal(it.Data, &m)
-	}
-	if err == nil {
-		err = e.learn(it.Data)
+	switch {
+	case errors.Is(err, state.ErrNotFound):
+		return Map{}, nil
+	case err != nil:
+		return Map{}, err
 	}
-	return m.Epoch, err
+	return e.learn(it.Data)
 }
 
 // Leader is the node that leads, as far as this one knows, or "".
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -96,24 +96,9 @@
 	if owner := m.Owner(r.Host); owner != p.set.Node && !p.standsIn(m, owner, r.Locale) {
 		return wire.Orders{}, ErrNotOwner{owner}
 	}
-	asked := false // the leader answered
-	if m.Leader == p.set.Node {
-		out, _, err := leader.Beat(ctx, r)
-		if err == nil {
-			return out, nil
-		}
-		asked = true
-	} else {
-		actx, cancel := context.WithTimeout(ctx, p.set.Report()/3)
-		defer cancel()
-		a, err := p.links.Beat(actx, m.Leader, r)
-		if err == nil && a.OK {
-			for _, f := range a.Learned {
-				p.Learn(f)
-			}
-			return a.Orders, nil
-		}
-		asked = err == nil
+	out, asked, err := p.ask(ctx, m.Leader, r, leader)
+	if err == nil {
+		return out, nil
 	}
 	// The leader cannot be asked, or it gave the lead up, or has not read its ledger,
 	// and the state service refuses all, so that nobody can do so before that is over.
@@ -129,6 +114,27 @@
 	return wire.Orders{Epoch: m.Epoch, Orders: []wire.Order{}}, nil
 }
 
+// ask has the leader answer a report, and tells whether it could be asked.
+func (p *Part) ask(ctx context.Context, node string, r *wire.Report, own Leader) (out wire.Orders, asked bool, err error) {
+	if node == p.set.Node {
+		out, _, err = own.Beat(ctx, r)
+		return out, true, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.set.Report()/3)
+	defer cancel()
+	a, err := p.links.Beat(ctx, node, r)
+	if err != nil {
+		return wire.Orders{}, false, err
+	}
+	if !a.OK {
+		return wire.Orders{}, true, control.ErrNotLeading
+	}
+	for _, f := range a.Learned {
+		p.Learn(f)
+	}
+	return a.Orders, true, nil
+}
+
 // outage tells whether the state service refuses all controllers, as far as this one
 // can know.
 func (p *Part) outage() bool {
--- a/internal/part/part_test.go
+++ b/internal/part/part_test.go
@@ -118,7 +118,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			p := part(t, lead.Map{Epoch: 7, Leader: tc.leader, Parts: []string{"me"}}, time.Minute, &tc.links)
 			if tc.settled {
-				p.gone.Inherit()
+				p.gone.Inherit("")
 			}
 			p.gone.Add("", "req-1")
 			out, err := p.Beat(t.Context(), &wire.Report{Host: "i-1", Epoch: 7, Members: []wire.Member{{Member: "req-1/0", Try: 2, Phase: wire.Running}, {Member: "req-2/0", Try: 1, Phase: wire.Running}}}, leader{no})
--- a/internal/serve/front.go
+++ b/internal/serve/front.go
@@ -99,8 +99,8 @@
 			return ctx.Err()
 		case epoch := <-d.asks:
 			stored, err := d.el.Stored(ctx)
-			if err == nil && stored < epoch && epoch > d.el.Known().Epoch {
-				d.hist.Doubt(fmt.Sprintf("workers have seen epoch %d, and %d is stored", epoch, stored))
+			if err == nil && stored.Epoch < epoch && epoch > d.el.Known().Epoch {
+				d.hist.Doubt(fmt.Sprintf("workers have seen epoch %d, and %d is stored", epoch, stored.Epoch))
 			}
 			state.Backoff(ctx, 0, d.set.Report()/8, d.set.Report()/8)
 		}
@@ -199,57 +199,20 @@
 	return d.gone.Take(n, d.control.Heed)
 }
 
-func (d *daemon) Reached(ctx context.Context, node string) {
-	d.gone.Begins(node)
-	d.compare(ctx, node)
-}
+func (d *daemon) Reached(ctx context.Context, node string) { d.teller.Reached(ctx, node) }
 
-// compare tells a peer all withdrawals that this node knows of, and hears all that the
-// peer does.
-func (d *daemon) compare(ctx context.Context, node string) {
-	refs := d.gone.All()
-	a, err := d.mesh.Note(ctx, node, &withdrawn.Note{From: d.set.Node, Refs: refs, All: true, Settled: d.gone.Settled()})
-	if err != nil || !a.Taken {
-		return // Linked goes on
-	}
-	d.gone.Knows(node, refs)
-	if d.gone.Add(node, a.Refs...) && a.Settled {
-		d.gone.Inherit()
-	}
-}
+func (d *daemon) Linked(ctx context.Context, node string) { d.teller.Linked(ctx, node) }
 
 // leads reads from the state service who leads now.
 func (d *daemon) leads(ctx context.Context) (string, error) {
-	epoch, err := d.el.Stored(ctx)
-	m := d.el.Known()
-	if err == nil && epoch != m.Epoch {
+	m, err := d.el.Stored(ctx)
+	if known := d.el.Known().Epoch; err == nil && m.Epoch != known {
 		// Another was elected since, or the state service is behind what is known.
-		err = fmt.Errorf("epoch %d is stored, %d is known", epoch, m.Epoch)
+		err = fmt.Errorf("epoch %d is stored, %d is known", m.Epoch, known)
 	}
 	return m.Leader, err
 }
 
-// settle notes the withdrawals that a new leader found.
-func (d *daemon) settle(refs []string) {
-	if d.gone.Add("", refs...) {
-		d.gone.Inherit()
-	}
-}
-
-func (d *daemon) Linked(ctx context.Context, node string) {
-	if !d.gone.Settled() {
-		d.compare(ctx, node) // the peer may be by now, a new leader above all
-		return
-	}
-	refs := d.gone.Unknown(node)
-	if len(refs) == 0 {
-		return
-	}
-	if a, err := d.mesh.Note(ctx, node, &withdrawn.Note{From: d.set.Node, Refs: refs}); err == nil && a.Taken {
-		d.gone.Knows(node, refs)
-	}
-}
-
 // Ping, Pinged, Beat, Pick, User and Counts are what peers ask of this node.
 
 func (d *daemon) Ping() peer.Ping {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -113,7 +113,6 @@
 	}
 	d.mesh = peer.NewMesh(set.Members, d, set.Report()/6, int(op.Limits.Sockets*float64(facts.Resources.Sockets)/2), dial(set, tls, nw.Dial), log)
 	d.part.Link(d.mesh)
-	d.teller = &withdrawn.Teller{Node: set.Node, Notices: d.gone, Link: d.mesh, Leads: func() bool { return d.control.Heed() }, Leader: d.leads}
 	var ring *keyring.Ring
 	if a := &op.Access; a.Identified() || a.Audited() {
 		var err error
@@ -128,8 +127,9 @@
 	}
 	d.control = control.New(control.Deps{
 		Settings: set, State: d.st, Cloud: cloud, Direct: agent.NewDirect(set.Report(), int(idleWorkers*float64(facts.Resources.Sockets)), nw.Dial), Elector: d.el,
-		Types: types, Parts: d.part, Full: d.memory.High, Ring: kept, History: d.hist, Copies: d.copies, Peers: d.mesh, Withdrawn: d.gone.All, Settle: d.settle, Log: log,
+		Types: types, Parts: d.part, Full: d.memory.High, Ring: kept, History: d.hist, Copies: d.copies, Peers: d.mesh, Notices: d.gone, Log: log,
 	})
+	d.teller = &withdrawn.Teller{Node: set.Node, Notices: d.gone, Link: d.mesh, Leads: d.control.Heed, Leader: d.leads}
 	mux := http.NewServeMux()
 	intake.New(set, d.st, types, d.counts, d.part.Refused, d.memory.High, d.door, d, d.copies, d.teller, day, log).Routes(mux)
 	d.users = mux
--- a/internal/sim/loss_test.go
+++ b/internal/sim/loss_test.go
@@ -36,14 +36,7 @@
 	cs []*node
 }
 
-func (d *lossDay) leader() int {
-	for n := range nodes {
-		if strings.Contains(d.st.get("lead"), fmt.Sprintf("host-%d", n)) {
-			return n
-		}
-	}
-	return 0
-}
+func (d *lossDay) leader() int { return max(0, d.st.leads()) }
 
 func (d *lossDay) crash(n int, back time.Duration) {
 	d.cs[n].crash()
--- a/internal/sim/meeting_test.go
+++ b/internal/sim/meeting_test.go
@@ -33,27 +33,8 @@
 	told   []string // what troubles came
 }
 
-// refuse has the state service refuse a controller alone, or ends that.
-func (s *store) refuseAlone(node string, on bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refuse[node] = on
-	s.cond.Broadcast()
-}
-
 func name(n int) string { return fmt.Sprintf("host-%d", n) }
 
-// leads is the controller that the state service names as the leader.
-func (s *store) leads() int {
-	l := s.get("lead")
-	for n := range 9 {
-		if strings.Contains(l, name(n)) {
-			return n
-		}
-	}
-	return -1
-}
-
 // alone cuts a controller off from the others.
 func (m *meeting) alone(n int, on bool) {
 	for o := range m.w.size {
--- a/internal/sim/services_test.go
+++ b/internal/sim/services_test.go
@@ -208,14 +208,8 @@
 	case path == "/commit":
 		var t wire.Commit
 		json.Unmarshal(body, &t)
-		if s.rnd.Float64() < s.late {
-			time.AfterFunc(2*time.Second+time.Duration(s.rnd.Int64N(int64(10*time.Second))), func() {
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				if s.expire(); !s.down {
-					s.commit(t)
-				}
-			})
+		if s.late > 0 && s.rnd.Float64() < s.late {
+			s.again(t, 2*time.Second+time.Duration(s.rnd.Int64N(int64(10*time.Second))))
 			if s.rnd.IntN(2) == 0 {
 				panic(http.ErrAbortHandler)
 			}
@@ -227,13 +221,7 @@
 		status, res := s.commit(t)
 		s.wrote[time.Now().Unix()] += len(t.Apply)
 		if s.rnd.IntN(50) == 0 { // a copy of it comes once more, much later or at once
-			time.AfterFunc(time.Duration(s.rnd.Int64N(int64(2*lease))), func() {
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				if s.expire(); !s.down {
-					s.commit(t)
-				}
-			})
+			s.again(t, time.Duration(s.rnd.Int64N(int64(2*lease))))
 		}
 		if status == 200 && s.done != nil && s.done(node, t) || s.rnd.IntN(100) == 0 {
 			panic(http.ErrAbortHandler) // executed, but the answer is lost
@@ -305,6 +293,32 @@
 	}
 }
 
+// again carries a transaction out after a while, whatever came of it before.
+func (s *store) again(t wire.Commit, after time.Duration) {
+	time.AfterFunc(after, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.expire(); !s.down {
+			s.commit(t)
+		}
+	})
+}
+
+// refuseAlone has the state service refuse a controller alone, or ends that.
+func (s *store) refuseAlone(node string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse[node] = on
+	s.cond.Broadcast()
+}
+
+// leads is the controller that the leader's key names; -1: none.
+func (s *store) leads() int {
+	n := -1
+	fmt.Sscanf(s.get("lead"), `{"node":"host-%d"`, &n)
+	return n
+}
+
 func (s *store) get(key string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -658,14 +658,9 @@
 				w.net.cut(fmt.Sprintf("host-%d", m), host, false)
 			}
 		case 5: // a controller is refused alone
-			st.mu.Lock()
-			st.refuse[name] = true
-			st.mu.Unlock()
+			st.refuseAlone(name, true)
 			time.Sleep(time.Duration(5+rnd.IntN(30)) * time.Second)
-			st.mu.Lock()
-			st.refuse[name] = false
-			st.cond.Broadcast()
-			st.mu.Unlock()
+			st.refuseAlone(name, false)
 		case 7: // a zone is cut off from everything, for longer than a lease or not
 			w.cutZone(cl, zoneOf(n), true)
 			time.Sleep(time.Duration(5+rnd.IntN(60)) * time.Second)
@@ -831,12 +826,7 @@
 				Members: members, Cores: 2, RAM: 2, Bundle: "img", Loaners: true, ExpectS: float64(10 + i)}, time.Duration(20+i)*time.Second, 0)
 		}
 		time.Sleep(35 * time.Second)
-		leader := 0
-		for n := range w.size {
-			if l := st.get("lead"); strings.Contains(l, fmt.Sprintf("host-%d", n)) {
-				leader = n
-			}
-		}
+		leader := max(0, st.leads())
 		cs[leader].crash()
 		time.Sleep(8 * time.Second)
 		cs[leader] = w.boot(leader)
--- a/internal/withdrawn/tell.go
+++ b/internal/withdrawn/tell.go
@@ -62,15 +62,17 @@
 // Take takes in a peer's note. leads tells whether this node leads, once it knows of the
 // jobs.
 func (n *Notices) Take(t *Note, leads func() bool) Ack {
-	a := Ack{Taken: n.Add(t.From, t.Refs...)}
+	a := Ack{}
+	if t.All && t.Settled {
+		a.Taken = n.Inherit(t.From, t.Refs...)
+	} else {
+		a.Taken = n.Add(t.From, t.Refs...)
+	}
 	if !a.Taken {
 		return a
 	}
 	a.Leads = leads()
 	if t.All {
-		if t.Settled {
-			n.Inherit()
-		}
 		a.Settled, a.Refs = n.Settled(), n.All()
 	}
 	return a
@@ -101,6 +103,49 @@
 	Leader func(ctx context.Context) (string, error)
 }
 
+// note tells a peer of withdrawals, and notes that it knows of them if it has taken them.
+func (t *Teller) note(ctx context.Context, peer string, n *Note) (Ack, error) {
+	n.From = t.Node
+	a, err := t.Link.Note(ctx, peer, n)
+	if err != nil {
+		return Ack{}, err
+	}
+	if a.Taken {
+		t.Notices.knows(peer, n.Refs)
+	}
+	return a, nil
+}
+
+// Reached is run on each new connection to a peer, ahead of all else: its process may be
+// another, which knows nothing.
+func (t *Teller) Reached(ctx context.Context, peer string) {
+	t.Notices.begins(peer)
+	t.compare(ctx, peer)
+}
+
+// Linked is run again and again while a peer is linked: it is told what it lacks, and asked
+// for all it knows by a node that does not know all itself.
+func (t *Teller) Linked(ctx context.Context, peer string) {
+	if !t.Notices.Settled() {
+		t.compare(ctx, peer) // the peer may be by now, a new leader above all
+	} else if refs := t.Notices.unknown(peer); len(refs) > 0 {
+		t.note(ctx, peer, &Note{Refs: refs})
+	}
+}
+
+// compare tells a peer all that this node knows, and hears all that the peer does. What
+// fails is done again by Linked.
+func (t *Teller) compare(ctx context.Context, peer string) {
+	a, err := t.note(ctx, peer, &Note{Refs: t.Notices.All(), All: true, Settled: t.Notices.Settled()})
+	switch {
+	case err != nil, !a.Taken:
+	case a.Settled:
+		t.Notices.Inherit(peer, a.Refs...)
+	default:
+		t.Notices.Add(peer, a.Refs...)
+	}
+}
+
 // Tell has a committed withdrawal known. A nil error means that a user may be told: all
 // controllers know, or the one that leads does. That one must be the leader at some time
 // after the commit, hence the read: whoever leads later finds the withdrawal when it
@@ -115,15 +160,14 @@
 	all, led := true, map[string]bool{t.Node: leads}
 	for _, p := range t.Notices.opt.Peers {
 		wg.Go(func() {
-			a, err := t.Link.Note(ctx, p, &Note{From: t.Node, Refs: []string{ref}})
-			if err == nil && a.Taken {
-				t.Notices.Knows(p, []string{ref})
+			a, err := t.note(ctx, p, &Note{Refs: []string{ref}})
+			if errors.Is(err, ErrOld) {
+				a = Ack{Taken: true, Leads: true} // served as ever
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			old := errors.Is(err, ErrOld)
-			all = all && (old || err == nil && a.Taken)
-			led[p] = old || err == nil && a.Taken && a.Leads
+			all = all && a.Taken
+			led[p] = a.Taken && a.Leads
 		})
 	}
 	wg.Wait()
--- a/internal/withdrawn/withdrawn.go
+++ b/internal/withdrawn/withdrawn.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"rillflow/internal/ledger"
 	"rillflow/internal/wire"
 )
 
@@ -57,6 +56,11 @@
 func (n *Notices) Add(from string, refs ...string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.add(from, refs)
+}
+
+// add is Add with the lock held.
+func (n *Notices) add(from string, refs []string) bool {
 	n.prune()
 	for _, ref := range refs {
 		e := n.m[ref]
@@ -90,13 +94,6 @@
 	}
 }
 
-// Has tells whether a job is known to be withdrawn.
-func (n *Notices) Has(ref string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.m[ref] != nil
-}
-
 // All are the jobs that are known to be withdrawn, by name.
 func (n *Notices) All() []string {
 	n.mu.Lock()
@@ -110,8 +107,8 @@
 	return out
 }
 
-// Unknown are the jobs that a peer is not known to know, by name.
-func (n *Notices) Unknown(peer string) []string {
+// unknown are the jobs that a peer is not known to know, by name.
+func (n *Notices) unknown(peer string) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var out []string
@@ -124,8 +121,8 @@
 	return out
 }
 
-// Knows notes that a peer knows of jobs.
-func (n *Notices) Knows(peer string, refs []string) {
+// knows notes that a peer knows of jobs.
+func (n *Notices) knows(peer string, refs []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, ref := range refs {
@@ -135,9 +132,9 @@
 	}
 }
 
-// Begins notes a new connection to a peer: its process may be another, which knows
+// begins notes a new connection to a peer: its process may be another, which knows
 // nothing.
-func (n *Notices) Begins(peer string) {
+func (n *Notices) begins(peer string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, e := range n.m {
@@ -155,11 +152,14 @@
 	return n.heir || n.opt.Now().Sub(n.began) > n.opt.Within
 }
 
-// Inherit notes that this node was told all that a settled peer knows.
-func (n *Notices) Inherit() {
+// Inherit takes over all that a settled peer knows, or, from "", all that a new leader
+// found whose tasks may be left. It tells whether there was room.
+func (n *Notices) Inherit(from string, refs ...string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.heir = true
+	taken := n.add(from, refs)
+	n.heir = n.heir || taken
+	return taken
 }
 
 // Stops adds to the orders for a worker those that end tasks of withdrawn jobs on it.
@@ -170,16 +170,19 @@
 		return orders
 	}
 	for _, m := range rep.Members {
-		ref, _, _ := strings.Cut(m.Member, "/")
-		if n.m[ref] == nil || m.Phase == wire.Ended ||
+		if !n.has(m.Member) || m.Phase == wire.Ended ||
 			slices.ContainsFunc(orders, func(o wire.Order) bool { return o.Verb == wire.Stop && o.Member == m.Member && o.Try == m.Try }) {
 			continue
 		}
 		orders = append(orders, wire.Order{Verb: wire.Stop, Member: m.Member, Try: m.Try})
 	}
 	// An order that was made before the notice came starts nothing after it.
-	return slices.DeleteFunc(orders, func(o wire.Order) bool {
-		t, ok := ledger.ParseTask(o.Member)
-		return ok && o.Verb == wire.Launch && n.m[t.Ref] != nil
-	})
+	return slices.DeleteFunc(orders, func(o wire.Order) bool { return o.Verb == wire.Launch && n.has(o.Member) })
+}
+
+// has tells whether a task is of a job that is known to be withdrawn. Run it with the lock
+// held.
+func (n *Notices) has(member string) bool {
+	ref, _, _ := strings.Cut(member, "/")
+	return n.m[ref] != nil
 }
--- a/internal/withdrawn/withdrawn_test.go
+++ b/internal/withdrawn/withdrawn_test.go
@@ -37,7 +37,7 @@
 		t.Error("dropped in an outage")
 	}
 	refused = false
-	if c.now = c.now.Add(within); !n.Add("", "req-3") || n.Has("req-1") || !slices.Equal(n.All(), []string{"req-3"}) {
+	if c.now = c.now.Add(within); !n.Add("", "req-3") || slices.Contains(n.All(), "req-1") || !slices.Equal(n.All(), []string{"req-3"}) {
 		t.Errorf("kept for good: %v", n.All())
 	}
 }
@@ -78,8 +78,7 @@
 	if !a.Settled || !slices.Equal(a.Refs, []string{"req-1"}) {
 		t.Errorf("%+v", a)
 	}
-	next.Add("a", a.Refs...)
-	next.Inherit()
+	next.Inherit("a", a.Refs...)
 	if a = next.Take(&Note{From: "b", All: true}, no); !next.Settled() || !a.Settled {
 		t.Error("not settled by one that is")
 	}
@@ -95,12 +94,12 @@
 	n := notices(c, &refused, 8)
 	n.Add("a", "req-1")
 	n.Add("", "req-2")
-	n.Knows("a", []string{"req-2"})
-	if u := n.Unknown("a"); len(u) != 0 {
+	n.knows("a", []string{"req-2"})
+	if u := n.unknown("a"); len(u) != 0 {
 		t.Errorf("unknown %v", u)
 	}
-	n.Begins("a")
-	if u := n.Unknown("a"); !slices.Equal(u, []string{"req-1", "req-2"}) || len(n.Unknown("b")) != 2 {
+	n.begins("a")
+	if u := n.unknown("a"); !slices.Equal(u, []string{"req-1", "req-2"}) || len(n.unknown("b")) != 2 {
 		t.Errorf("unknown %v", u)
 	}
 }
@@ -140,7 +139,7 @@
 			c, refused, reads := &clock{time.Unix(1e9, 0)}, false, 0
 			n := notices(c, &refused, 8)
 			te := &Teller{Node: "me", Notices: n, Link: tc.peers, Leads: func() bool {
-				if !n.Has("req-1") {
+				if !slices.Contains(n.All(), "req-1") {
 					t.Error("asked whether it leads ahead of the notice")
 				}
 				return tc.self
@@ -155,7 +154,7 @@
 				t.Errorf("%v, after %d reads", err, reads)
 			}
 			for p, l := range tc.peers {
-				if got := !slices.Contains(n.Unknown(p), "req-1"); got != (l.err == nil && l.Taken) {
+				if got := !slices.Contains(n.unknown(p), "req-1"); got != (l.err == nil && l.Taken) {
 					t.Errorf("%s is taken to know: %v", p, got)
 				}
 			}
@@ -180,3 +179,44 @@
 		}
 	})
 }
+
+// far is a way to a peer that answers with what it knows.
+type far struct {
+	*Notices
+	sent int
+}
+
+func (f *far) Note(_ context.Context, _ string, n *Note) (Ack, error) {
+	f.sent++
+	return f.Take(n, func() bool { return false }), nil
+}
+
+// On a new connection each tells the other all; after that a peer is told what it lacks and
+// nothing else, and a node that has forgotten asks until it hears from one that has not.
+func TestCompare(t *testing.T) {
+	c, refused := &clock{time.Unix(1e9, 0)}, false
+	peer, here := &far{Notices: notices(c, &refused, 8)}, notices(c, &refused, 8)
+	te := &Teller{Node: "me", Notices: here, Link: peer}
+	here.Add("", "req-1")
+	peer.Add("", "req-2")
+	te.Reached(t.Context(), "a")
+	for _, n := range []*Notices{here, peer.Notices} {
+		if !slices.Equal(n.All(), []string{"req-1", "req-2"}) || n.Settled() {
+			t.Errorf("knows %v, settled %v", n.All(), n.Settled())
+		}
+	}
+	if te.Linked(t.Context(), "a"); peer.sent != 2 || here.Settled() {
+		t.Errorf("asked %d times, settled %v", peer.sent, here.Settled())
+	}
+	peer.Inherit("", "req-3")
+	if te.Linked(t.Context(), "a"); !here.Settled() || len(here.All()) != 3 {
+		t.Errorf("settled %v, knows %v", here.Settled(), here.All())
+	}
+	if te.Linked(t.Context(), "a"); peer.sent != 3 {
+		t.Errorf("told %d times with no news", peer.sent)
+	}
+	here.Add("", "req-4")
+	if te.Linked(t.Context(), "a"); peer.sent != 4 || !slices.Contains(peer.All(), "req-4") {
+		t.Errorf("told %d times, the peer knows %v", peer.sent, peer.All())
+	}
+}
