--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -27,6 +27,7 @@
 	"rillflow/internal/silence"
 	"rillflow/internal/state"
 	"rillflow/internal/wire"
+	"rillflow/internal/withdrawn"
 )
 
 // Control serves terms, one at a time.
@@ -43,8 +44,7 @@
 	hist    *history.Keeper
 	copies  *copies.Copy
 	peers   copies.Peers
-	notices func() []string // jobs that this node knows to be withdrawn
-	found   func(refs []string)
+	notices *withdrawn.Notices
 	log     *slog.Logger
 	now     func() time.Time
 	cur     atomic.Pointer[reign]
@@ -95,18 +95,14 @@
 	History  *history.Keeper
 	Copies   *copies.Copy
 	Peers    copies.Peers
-	// Withdrawn are jobs whose withdrawal was committed lately, from wherever this node
-	// knows it; Settle notes those of which there are claims left, as a new leader read
-	// them, and that no others can have tasks.
-	Withdrawn func() []string
-	Settle    func(refs []string)
-	Log       *slog.Logger
+	Notices  *withdrawn.Notices // jobs whose withdrawal was committed lately
+	Log      *slog.Logger
 }
 
 // New makes a Control.
 func New(d Deps) *Control {
 	return &Control{set: d.Settings, st: d.State, cloud: d.Cloud, direct: d.Direct, el: d.Elector, types: d.Types, parts: d.Parts, full: d.Full, ring: d.Ring,
-		hist: d.History, copies: d.Copies, peers: d.Peers, notices: d.Withdrawn, found: d.Settle, log: d.Log, now: time.Now}
+		hist: d.History, copies: d.Copies, peers: d.Peers, notices: d.Notices, log: d.Log, now: time.Now}
 }
 
 // reign is the state of one term. Everything below mu is guarded by it.
@@ -171,7 +167,7 @@
 	r.mu.Lock()
 	r.rec.note(c.now(), audit.Entry{Act: audit.TookOver, On: c.set.Node, Why: fmt.Sprintf("epoch %d", term.First)})
 	if p := term.History().Phase; p == history.Whole || p == history.Open {
-		r.found(r.withdrawn())
+		r.notices.Inherit("", r.withdrawn()...)
 	}
 	r.mu.Unlock()
 	close(r.ready)
@@ -248,8 +244,10 @@
 			// A job about to be done goes from the live keys by this
 			// leader's own write; were it withdrawn, that write fails.
 			ref := ch.Remove[len(ledger.LivePrefix):]
-			if j := r.led.Job(ref); j != nil && !j.Finished && !j.Withdrawn {
+			if r.untold(ref) {
 				over = append(over, ref)
+			}
+			if j := r.led.Job(ref); j != nil && !j.Finished {
 				r.withdraw(ref)
 			}
 		}
@@ -273,6 +271,21 @@
 	return ctx.Err()
 }
 
+// untold tells whether a job left the live keys other than by this leader's own write, and
+// the copy lacks its end. That the ledger has it withdrawn says nothing of that: a notice
+// may have come ahead of the log.
+func (r *reign) untold(ref string) bool {
+	tree, _ := r.copies.Tree() // not what this node took itself, which the others lack
+	if _, ok := tree.Get([]byte(ledger.EndedKey(ref))); ok {
+		return false
+	}
+	if j := r.led.Job(ref); j != nil {
+		return !j.Finished
+	}
+	_, live := tree.Get([]byte(ledger.LiveKey(ref))) // the ledger forgot it with its last claim
+	return live
+}
+
 // withdraw notes that a job left the live keys other than by being done.
 func (r *reign) withdraw(ref string) {
 	j := r.led.Job(ref)
