Submissions are read member by member: another case, twice, too large

Cause: the decoder takes Cores for cores and the last of two members for both, so such jobs were accepted; a known job submitted again with a body that was too large was refused with 400, which users may not be told of a job that was accepted.

TestParse has the new rows, TestOddBodies asks for known and unknown jobs, and TestOddRequests in the simulation sends them through every controller. One row's wanted message changed: null is now told to be no object, still an error and a 400.

--- a/internal/intake/check.go
+++ b/internal/intake/check.go
@@ -3,9 +3,11 @@
 package intake
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"regexp"
 	"slices"
@@ -24,45 +26,46 @@
 
 // submission is a job as it arrives: pointers tell what is missing.
 type submission struct {
-	Ref       *string   `json:"ref"`
-	Class     *string   `json:"jobclass"`
-	Owner     *string   `json:"owner"`
-	Shape     *string   `json:"shape"`
-	Rank      *string   `json:"rank"`
-	Members   *int      `json:"members"`
-	Cores     *float64  `json:"cores"`
-	Accel     *float64  `json:"accelerators"`
-	RAM       *float64  `json:"ram_gb"`
-	Bundle    *string   `json:"bundle"`
-	SizeGB    *float64  `json:"size_gb"`
-	Flavors   *[]string `json:"flavors"`
-	Locale    *string   `json:"locale"`
-	SamePlace *bool     `json:"same_place"`
-	Scatter   *bool     `json:"scatter"`
-	Loaners   *bool     `json:"loaners"`
-	ExpectS   *float64  `json:"expect_s"`
-	SnapshotS *float64  `json:"snapshot_s"`
-	FlushS    *float64  `json:"flush_s"`
-	DueS      *float64  `json:"due_s"`
-	Needs     []string  `json:"waits_on"`
+	Ref       *string
+	Class     *string
+	Owner     *string
+	Shape     *string
+	Rank      *string
+	Members   *int
+	Cores     *float64
+	Accel     *float64
+	RAM       *float64
+	Bundle    *string
+	SizeGB    *float64
+	Flavors   *[]string
+	Locale    *string
+	SamePlace *bool
+	Scatter   *bool
+	Loaners   *bool
+	ExpectS   *float64
+	SnapshotS *float64
+	FlushS    *float64
+	DueS      *float64
+	Needs     []string
+}
+
+// members are where a submission's members go, by their exact names.
+func (s *submission) members() map[string]any {
+	return map[string]any{
+		"ref": &s.Ref, "jobclass": &s.Class, "owner": &s.Owner, "shape": &s.Shape, "rank": &s.Rank, "members": &s.Members,
+		"cores": &s.Cores, "accelerators": &s.Accel, "ram_gb": &s.RAM, "bundle": &s.Bundle, "size_gb": &s.SizeGB,
+		"flavors": &s.Flavors, "locale": &s.Locale, "same_place": &s.SamePlace, "scatter": &s.Scatter, "loaners": &s.Loaners,
+		"expect_s": &s.ExpectS, "snapshot_s": &s.SnapshotS, "flush_s": &s.FlushS, "due_s": &s.DueS, "waits_on": &s.Needs,
+	}
 }
 
 // Parse reads a submission. The reference is returned also with an error when
 // it could be read: a job that is known is answered whatever the body says.
 func Parse(body []byte) (job wire.Job, ref string, err error) {
 	var s submission
-	err = json.Unmarshal(body, &s)
+	err = s.read(body)
 	if s.Ref != nil && ValidRef(*s.Ref) {
 		ref = *s.Ref
-	} else if err != nil {
-		// The decoder stops at nothing but bad syntax; with a wrong type
-		// elsewhere the reference may still stand by itself.
-		var only struct {
-			Ref string `json:"ref"`
-		}
-		if json.Unmarshal(body, &only) == nil && ValidRef(only.Ref) {
-			ref = only.Ref
-		}
 	}
 	if err != nil {
 		return job, ref, fmt.Errorf("malformed: %w", err)
@@ -71,6 +74,46 @@
 	return job, ref, err
 }
 
+// read takes in a body, member by member: decoded into a struct, Cores would be taken for
+// cores, and of two the last. With an error it holds what could be read.
+func (s *submission) read(body []byte) error {
+	d := json.NewDecoder(bytes.NewReader(body))
+	if t, err := d.Token(); err != nil {
+		return err
+	} else if t != json.Delim('{') {
+		return errors.New("not an object")
+	}
+	to, seen := s.members(), make(map[string]bool)
+	var errs []error
+	for d.More() {
+		t, err := d.Token()
+		if err != nil {
+			return errors.Join(append(errs, err)...)
+		}
+		var v json.RawMessage
+		if err := d.Decode(&v); err != nil {
+			return errors.Join(append(errs, err)...)
+		}
+		name, _ := t.(string) // a member's name is nothing else
+		switch p := to[name]; {
+		case p == nil: // not known, so ignored
+		case seen[name]:
+			errs = append(errs, fmt.Errorf("%s: twice", name))
+		default:
+			seen[name] = true
+			if err := json.Unmarshal(v, p); err != nil {
+				errs = append(errs, fmt.Errorf("%s: %w", name, err))
+			}
+		}
+	}
+	if _, err := d.Token(); err != nil {
+		errs = append(errs, err)
+	} else if _, err := d.Token(); err != io.EOF {
+		errs = append(errs, errors.New("more than an object"))
+	}
+	return errors.Join(errs...)
+}
+
 func (s *submission) job() (j wire.Job, err error) {
 	var errs []error
 	bad := func(field, what string) { errs = append(errs, fmt.Errorf("%s: %s", field, what)) }
--- a/internal/intake/check_test.go
+++ b/internal/intake/check_test.go
@@ -21,7 +21,18 @@
 		{"nulls left out", `"locale":null,`, "", "req-000412", ""},
 		{"not JSON", `{"ref"`, `{ref`, "", "malformed"},
 		{"not an object", goodJob, `[1]`, "", "malformed"},
-		{"null", goodJob, `null`, "", "ref"},
+		{"null", goodJob, `null`, "", "not an object"},
+		{"null instead of a list", `["g8"]`, `null`, "req-000412", ""},
+		{"a member in another case is not known", `"ref"`, `"Cores":1,"ref"`, "req-000412", ""},
+		{"another case", `"cores"`, `"Cores"`, "req-000412", "cores: missing"},
+		{"another case of the reference", `"ref"`, `"Ref"`, "", "ref: missing"},
+		{"twice", `"cores":8.0`, `"cores":8.0,"cores":8.0`, "req-000412", "cores: twice"},
+		{"an unknown one twice", `"ref"`, `"hue":1,"hue":2,"ref"`, "req-000412", ""},
+		{"the reference twice: the first counts", `"members":16`, `"members":16,"ref":"req-7"`, "req-000412", "ref: twice"},
+		{"too large a number", `"cores":8.0`, `"cores":1e999`, "req-000412", "malformed"},
+		{"not finite", `"cores":8.0`, `"cores":NaN`, "req-000412", "malformed"},
+		{"cut short keeps the reference", `"due_s":900.0}`, `"due_`, "req-000412", "malformed"},
+		{"more than an object", `900.0}`, `900.0} {}`, "req-000412", "more than an object"},
 		{"missing field", `"cores":8.0,`, "", "req-000412", "cores: missing"},
 		{"null where it may not be", `"cores":8.0`, `"cores":null`, "req-000412", "cores: missing"},
 		{"wrong type keeps the reference", `"members":16`, `"members":"16"`, "req-000412", "malformed"},
@@ -120,3 +131,37 @@
 		}
 	})
 }
+
+// Whatever a body lacks, a job that is known is answered as it stands; of one that is not,
+// nothing is stored.
+func TestOddBodies(t *testing.T) {
+	k := &keys{m: map[string]string{}}
+	_, mux := users(t, k)
+	if rec := submit(mux, "req-1", nil, "", ""); rec.Code != 201 {
+		t.Fatalf("submitted: %d", rec.Code)
+	}
+	for _, tc := range []struct{ name, old, new string }{
+		{"a field is missing", `"cores":8.0,`, ``},
+		{"another case", `"cores"`, `"Cores"`},
+		{"twice", `"cores":8.0`, `"cores":8.0,"cores":8.0`},
+		{"cut short", `"due_s":900.0}`, `"due`},
+		{"too large", `"due_s":900.0}`, `"due_s":900.0}` + strings.Repeat(" ", MaxBody)},
+		{"fits no machine", `"cores":8.0`, `"cores":1e6`},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			want := 400
+			if tc.name == "fits no machine" {
+				want = 422
+			}
+			if rec := submit(mux, "req-2", nil, tc.old, tc.new); rec.Code != want {
+				t.Errorf("not known: %d %s", rec.Code, rec.Body)
+			}
+			if rec := submit(mux, "req-1", nil, tc.old, tc.new); rec.Code != 200 || !strings.Contains(rec.Body.String(), wire.Queued) {
+				t.Errorf("known: %d %s", rec.Code, rec.Body)
+			}
+			if _, ok := k.m["j/req-2"]; ok {
+				t.Error("stored")
+			}
+		})
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -117,10 +117,6 @@
 
 func (u *Users) submit(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
-	if err != nil {
-		reply(w, http.StatusBadRequest, wire.Error{Error: "body too large or broken"})
-		return
-	}
 	ctx, cancel := u.patience(r, 2*time.Second)
 	defer cancel()
 	who, ok := u.who(w, r)
@@ -128,6 +124,9 @@
 		return
 	}
 	job, ref, bad := Parse(body)
+	if err != nil {
+		bad = errors.New("body too large or broken")
+	}
 	status := http.StatusBadRequest
 	if bad == nil {
 		bad = Runnable(&job, u.set, u.types.Types())
--- a/internal/serve/front.go
+++ b/internal/serve/front.go
@@ -115,9 +115,10 @@
 		d.users.ServeHTTP(w, r)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, intake.MaxBody))
+	// One more than may be: the peer sees that it is too large.
+	body, err := io.ReadAll(io.LimitReader(r.Body, intake.MaxBody+1))
 	if err != nil {
-		reply(w, http.StatusBadRequest, wire.Error{Error: "body too large or broken"})
+		reply(w, http.StatusBadRequest, wire.Error{Error: "broken body"})
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), d.set.Report()/2)
