Mute machines: only an answered report says who may be given work

Cause: answers to /do and /status counted as signs of life, though only an answered report renews a lease. Machines that reach no controller were given tasks again and again, lost them with each lease, and were never returned; where all were mute, the leadership went from one controller to the next, none of which heard any.

Now a machine takes new tasks only while its reports are answered; one that answers direct commands counts as silent from a lease on; and a leader that hears no worker gives up only where a peer may hear some, or none is linked.

A stand-in was wrong at first: machines that stopped were never listed as failed. The check that a user did not ask to withdraw now goes by whether it did.

--- a/internal/agent/host.go
+++ b/internal/agent/host.go
@@ -80,14 +80,6 @@
 	Coming bool // not fetched yet, as far as is known
 }
 
-// Lately is when news last came from the host itself.
-func (h *Host) Lately() time.Time {
-	if h.Told.After(h.Heard) {
-		return h.Told
-	}
-	return h.Heard
-}
-
 // NewHost makes a host of which nothing was heard yet.
 func NewHost(name string) *Host {
 	return &Host{Name: name, Members: make(map[ledger.Task]Member), Wake: make(chan struct{}, 1)}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -63,6 +63,8 @@
 	Alone() (string, bool)
 	// Refused tells whether the state service has not answered for long.
 	Refused() bool
+	// Unheard tells whether peers are linked, and none of them hears any worker either.
+	Unheard() bool
 }
 
 // Term is the leadership that a reign rests on.
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -413,9 +413,10 @@
 	}
 }
 
-// alive tells whether a host was heard from lately.
+// alive tells whether a host's report was answered lately. Nothing else renews its lease:
+// one that answers direct commands, and reaches no controller, loses whatever it is given.
 func (r *reign) alive(h *agent.Host, now time.Time) bool {
-	return !h.Heard.IsZero() && now.Sub(h.Lately()) < 5*r.set.Report()/2
+	return !h.Heard.IsZero() && now.Sub(h.Heard) < 5*r.set.Report()/2
 }
 
 // typeOf is the type of a job for the placement rule.
--- a/internal/control/late_test.go
+++ b/internal/control/late_test.go
@@ -75,7 +75,7 @@
 			if _, _, err := r.Beat(t.Context(), &wire.Report{Host: "h0", Flavor: "m", Locale: h.Zone, Tenure: tc.tenure, Tick: tc.tick, Epoch: 7}); err != nil {
 				t.Fatal(err)
 			}
-			if got := h.Heard.Equal(now) && r.heard.Equal(now) && h.Lately().Equal(now); got != tc.heard || got != r.alive(h, now) {
+			if got := h.Heard.Equal(now) && r.heard.Equal(now) && h.Told.Equal(now); got != tc.heard || got != r.alive(h, now) {
 				t.Errorf("heard %v, told %v, alive %v", h.Heard, h.Told, r.alive(h, now))
 			}
 			if !h.Answered.Equal(now) {
--- a/internal/control/quiet.go
+++ b/internal/control/quiet.go
@@ -18,15 +18,21 @@
 }
 
 // quietFor is for how long a host that should be heard was not. It has had no way
-// to be heard before this term began, its boot was over, or its owner took over.
+// to be heard before this term began, its boot was over, or its owner took over. What it
+// answers to direct commands tells that it is up, but not for longer than a lease: then
+// whatever it had is gone, since only an answered report renews the lease.
 func (r *reign) quietFor(h *agent.Host, now time.Time) time.Duration {
 	last := r.began
-	for _, t := range []time.Time{h.Lately(), h.Running, h.Moved} {
+	for _, t := range []time.Time{h.Heard, h.Running, h.Moved} {
 		if t.After(last) {
 			last = t
 		}
 	}
-	return now.Sub(last)
+	mute := now.Sub(last)
+	if h.Told.After(last) && mute <= r.leaseOver() {
+		return now.Sub(h.Told)
+	}
+	return mute
 }
 
 // listen judges who is at fault for what is not heard.
--- a/internal/control/quiet_test.go
+++ b/internal/control/quiet_test.go
@@ -36,6 +36,9 @@
 			r.led.Job("req-2").WithdrawnAt = now.Add(-43 * time.Second)
 			r.led.Withdraw("req-2")
 		}, 0, ""},
+		{"one that answers commands, within the lease", func(i int) bool { return i == 1 }, 9 * report, told("h1"), 0, ""},
+		{"one that answers commands, past it", func(i int) bool { return i == 1 }, 11 * report, told("h1"), 1, "h1"},
+		{"a zone that answers commands is kept", func(i int) bool { return i%3 == 1 }, 11 * report, told("h1", "h4", "h7", "h10", "h13", "h16", "h19", "h22"), 0, ""},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := term(t)
@@ -74,3 +77,12 @@
 		})
 	}
 }
+
+// told has hosts answer direct commands.
+func told(names ...string) func(r *reign) {
+	return func(r *reign) {
+		for _, n := range names {
+			r.hosts[n].Told = now
+		}
+	}
+}
--- a/internal/control/rules_test.go
+++ b/internal/control/rules_test.go
@@ -56,6 +56,7 @@
 func (parts) Fit(have []string) []string { return have }
 func (parts) Alone() (string, bool)      { return "", false }
 func (parts) Refused() bool              { return false }
+func (parts) Unheard() bool              { return false }
 
 // truth is a worker as it really is.
 type truth struct {
--- a/internal/control/tend.go
+++ b/internal/control/tend.go
@@ -67,7 +67,8 @@
 }
 
 // deaf tells whether this controller, and not the workers, is cut off: all
-// fell silent at about the same time though several there are.
+// fell silent at about the same time though several there are. Where its peers
+// hear none either, another leader would be no better off.
 func (r *reign) deaf(now time.Time) bool {
 	if len(r.set.Members) == 0 || r.heard.IsZero() {
 		return false
@@ -78,7 +79,7 @@
 			up++
 		}
 	}
-	return up >= 4 && now.Sub(r.heard) > 2*r.set.Report()
+	return up >= 4 && now.Sub(r.heard) > 2*r.set.Report() && !r.parts.Unheard()
 }
 
 // strangers are hosts that are up but have not come to this leader yet, stay
--- a/internal/part/deaf.go
+++ b/internal/part/deaf.go
@@ -49,7 +49,7 @@
 	owner := slices.Contains(p.known().Parts, p.set.Node)
 	fresh := false
 	for _, s := range p.links.Peers() {
-		fresh = fresh || s.Live && s.HearingKnown && float64(s.Hearing.Age) < freshly*report
+		fresh = fresh || p.fresh(s)
 	}
 	e := &p.ears
 	e.mu.Lock()
@@ -76,5 +76,25 @@
 	return peer.Hearing{Age: age, Deaf: now.Before(e.rest)}
 }
 
+// Unheard tells whether peers are linked, and none of them hears any worker: where all
+// workers are cut off, it is no fault of this node's.
+func (p *Part) Unheard() bool {
+	linked := false
+	for _, s := range p.links.Peers() {
+		if !s.Live {
+			continue
+		}
+		if linked = true; !s.HearingKnown || p.fresh(s) {
+			return false
+		}
+	}
+	return linked
+}
+
+// fresh tells whether a linked peer heard a worker just now.
+func (p *Part) fresh(s peer.Status) bool {
+	return s.Live && s.HearingKnown && float64(s.Hearing.Age) < freshly*float64(p.set.Report())
+}
+
 // Deaf tells whether this node is cut off from workers that reach others.
 func (p *Part) Deaf() bool { return p.Hearing().Deaf }
--- a/internal/part/deaf_test.go
+++ b/internal/part/deaf_test.go
@@ -46,6 +46,9 @@
 			if got := p.Deaf(); got != tc.want {
 				t.Fatalf("deaf: %v", got)
 			}
+			if got, want := p.Unheard(), tc.live && tc.peer.Age > report; got != want {
+				t.Errorf("no peer hears a worker either: %v, want %v", got, want)
+			}
 			if !tc.want {
 				return
 			}
--- a/internal/sim/network_test.go
+++ b/internal/sim/network_test.go
@@ -24,11 +24,12 @@
 	rnd   *rand.Rand
 	dead  map[string]bool                 // hosts whose process is ending: it reaches nobody any more
 	tap   func(from, to string, b []byte) // sees what is sent, if set
+	lag   map[string]time.Duration        // by which what a host sends or is sent is slower
 	ended bool
 }
 
 func newNetwork(rnd *rand.Rand) *network {
-	n := &network{lis: map[string]*listener{}, owner: map[string]string{}, cuts: map[[2]string]bool{}, conns: map[*conn]bool{}, dead: map[string]bool{}, rnd: rnd}
+	n := &network{lis: map[string]*listener{}, owner: map[string]string{}, cuts: map[[2]string]bool{}, conns: map[*conn]bool{}, dead: map[string]bool{}, lag: map[string]time.Duration{}, rnd: rnd}
 	n.cond = sync.NewCond(&n.mu)
 	return n
 }
@@ -43,6 +44,15 @@
 	}
 }
 
+// slow has links to hosts be slow, or as quick as ever again.
+func (n *network) slow(lag time.Duration, hosts ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range hosts {
+		n.lag[h] = lag
+	}
+}
+
 // reset ends all connections of a host, as when its process ends.
 func (n *network) reset(host string) {
 	n.mu.Lock()
@@ -277,7 +287,7 @@
 	if c.n.tap != nil {
 		c.n.tap(c.from, c.to, b)
 	}
-	delay := time.Millisecond + time.Duration(c.n.rnd.IntN(2000))*time.Microsecond
+	delay := time.Millisecond + time.Duration(c.n.rnd.IntN(2000))*time.Microsecond + c.n.lag[c.from] + c.n.lag[c.to]
 	c.out = append(c.out, packet{time.Now().Add(delay), append([]byte(nil), b...)})
 	c.cond.Broadcast()
 	return len(b), nil
--- a/internal/sim/services_test.go
+++ b/internal/sim/services_test.go
@@ -393,8 +393,10 @@
 	seen  map[string]time.Time // when listed first
 	count map[string]int
 	next  int
-	most  int            // machines of a type, zone and kind
-	few   map[string]int // in zones that have less
+	sizes map[string]wire.Rent // what was asked for, by its name
+	freed int                  // machines returned
+	most  int                  // machines of a type, zone and kind
+	few   map[string]int       // in zones that have less
 }
 
 func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -411,6 +413,7 @@
 			if h, ok := c.hosts[n]; ok {
 				c.count[h.Flavor+h.Locale]--
 				delete(c.hosts, n)
+				c.freed++
 				c.w.stop(n)
 			}
 		}
@@ -429,6 +432,12 @@
 		}
 		var q wire.Rent
 		json.Unmarshal(body, &q)
+		if was, ok := c.sizes[q.Ask]; ok && was != q {
+			c.w.mu.Lock()
+			c.w.broke("names: %s was used for %v and for %v", q.Ask, was, q)
+			c.w.mu.Unlock()
+		}
+		c.sizes[q.Ask] = q
 		if names, ok := c.asks[q.Ask]; ok {
 			answer(w, 200, wire.HostNames{Hosts: names})
 			return
@@ -456,6 +465,19 @@
 	}
 }
 
+// die has a machine stop on its own. It is listed as running for some more time.
+func (c *cloud) die(n string) {
+	c.w.stop(n)
+	time.AfterFunc(30*time.Second, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if h, ok := c.hosts[n]; ok {
+			h.Phase = wire.HostFailed
+			c.hosts[n] = h
+		}
+	})
+}
+
 func (c *cloud) up(n string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -67,13 +67,18 @@
 	size     int                   // controllers
 	upgraded map[int]bool          // controllers told of the lower limits to come
 	starts   int
-	spread   float64      // how much longer each task of a job runs than the one before it, as a ratio to the first
-	echoes   float64      // share of the reports of which a copy arrives again, late
-	most     int          // machines of a kind and zone
-	sockets  int          // of a controller; 0: plenty
-	teams    int          // equal ones; 0: two
-	ran      map[run]bool // tries that started
-	operator string       // the operators' settings; "": none of their own
+	spread   float64              // how much longer each task of a job runs than the one before it, as a ratio to the first
+	echoes   float64              // share of the reports of which a copy arrives again, late
+	most     int                  // machines of a kind and zone
+	sockets  int                  // of a controller; 0: plenty
+	teams    int                  // equal ones; 0: two
+	ran      map[run]bool         // tries that started
+	begun    map[string]time.Time // first start of a task, by job
+	answered map[string]time.Time // last answer about a job
+	calm     time.Time            // when the last trouble was over; zero: not yet
+	waits    map[string]time.Time // jobs that wait though there is room, since when
+	late     []time.Duration      // starts after a confirmed withdrawal, how long after
+	operator string               // the operators' settings; "": none of their own
 	store    *store
 	breaches []string
 }
@@ -103,6 +108,9 @@
 	defer w.mu.Unlock()
 	w.starts++
 	w.ran[run{id, try, h.Ref}] = true
+	if w.begun[id.Ref].IsZero() {
+		w.begun[id.Ref] = time.Now()
+	}
 	j, ok := w.jobs[id.Ref]
 	if !ok {
 		w.broke("%s started, which nobody submitted", id)
@@ -119,16 +127,27 @@
 		w.broke("ran_twice: %s starts on %s while on %s", id, h.Ref, other)
 	}
 	w.place(id, h.Ref)
-	if at, ok := w.gone[id.Ref]; ok && time.Since(at) > cancel {
-		w.broke("ran_cancelled: %s starts %v after", id, time.Since(at))
+	if at, ok := w.gone[id.Ref]; ok {
+		w.late = append(w.late, time.Since(at))
+		if time.Since(at) > cancel {
+			w.broke("ran_cancelled: %s starts %v after", id, time.Since(at))
+		}
 	}
 	if h.Loaners && !j.Loaners {
 		w.broke("wrong_place: %s on a spot machine", id)
 	}
-	used, zone := w.used[j.Owner], 0
+	if len(j.Flavors) > 0 && !slices.Contains(j.Flavors, h.Flavor) {
+		w.broke("wrong_place: %s on a machine of type %s", id, h.Flavor)
+	}
+	if j.Locale != "" && j.Locale != h.Locale {
+		w.broke("wrong_place: %s in zone %s, not %s", id, h.Locale, j.Locale)
+	}
+	used, zone, all := w.used[j.Owner], 0, 0
 	for i := range j.Members {
-		if k := w.workers[w.where[ledger.Task{Ref: id.Ref, Index: i}]]; k != nil && k.h.Locale == h.Locale {
-			zone++
+		if k := w.workers[w.where[ledger.Task{Ref: id.Ref, Index: i}]]; k != nil {
+			if all++; k.h.Locale == h.Locale {
+				zone++
+			}
 		}
 	}
 	if used > w.limit+1e-6 {
@@ -137,6 +156,9 @@
 	if j.Scatter && zone > (j.Members+1)/2 {
 		w.broke("wrong_place: %d of %d tasks of %s in a zone", zone, j.Members, id.Ref)
 	}
+	if j.SamePlace && zone < all {
+		w.broke("wrong_place: %s in another zone than %d tasks of its job", id, all-zone)
+	}
 	return j
 }
 
@@ -185,6 +207,12 @@
 	w.done[id] = true
 }
 
+func (w *world) isDone(id ledger.Task) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.done[id]
+}
+
 func (w *world) start(h wire.ListedHost) {
 	ctx, cancel := context.WithCancel(w.ctx)
 	k := &worker{w: w, h: h, cancel: cancel, tenure: 1, sent: time.Now(), tasks: map[string]*task{}, node: w.intN(w.size), wake: make(chan struct{}, 1),
@@ -324,13 +352,21 @@
 	}
 }
 
+// orNull is a text, or null for none.
+func orNull(s string) *string {
+	if s == "" {
+		return nil
+	}
+	return &s
+}
+
 // user submits a job, polls it, and may withdraw it.
 func (w *world) user(ctx context.Context, j wire.Job, withdraw time.Duration) {
 	client := &http.Client{Transport: &http.Transport{DialContext: w.net.at("user").Dial, DisableKeepAlives: true}}
 	body, _ := json.Marshal(map[string]any{
 		"ref": j.Ref, "jobclass": j.Class, "owner": j.Owner, "shape": j.Shape, "rank": j.Rank, "members": j.Members, "cores": j.Cores,
-		"accelerators": 0, "ram_gb": j.RAM, "bundle": j.Bundle, "size_gb": 1, "same_place": false, "scatter": j.Scatter, "loaners": j.Loaners,
-		"expect_s": j.ExpectS, "snapshot_s": 0, "flush_s": 0, "waits_on": j.Needs,
+		"accelerators": 0, "ram_gb": j.RAM, "bundle": j.Bundle, "size_gb": 1, "same_place": j.SamePlace, "scatter": j.Scatter, "loaners": j.Loaners,
+		"expect_s": j.ExpectS, "snapshot_s": 0, "flush_s": 0, "waits_on": j.Needs, "flavors": j.Flavors, "locale": orNull(j.Locale),
 	})
 	for _, n := range j.Needs {
 		w.mu.Lock()
@@ -388,6 +424,9 @@
 			status, phase = ask("GET", "/v1/jobs/"+j.Ref, nil)
 		}
 		w.mu.Lock()
+		if accepted {
+			w.heard(j.Ref, status)
+		}
 		if accepted && status == 404 {
 			w.broke("forgotten: %s", j.Ref)
 			accepted = w.again == nil
@@ -402,7 +441,7 @@
 			w.told[j.Ref] = phase
 		}
 		if phase == wire.Withdrawn {
-			if withdraw == 0 && !w.severed(j.Ref) {
+			if !w.asked[j.Ref] && !w.severed(j.Ref) {
 				w.broke("went_back: %s called withdrawn", j.Ref)
 			}
 			if w.gone[j.Ref].IsZero() {
@@ -483,11 +522,12 @@
 func beginWith(t testing.TB, seed uint64, size int, limit float64, most int, operator string) (ctx context.Context, w *world, st *store, cl *cloud, cs []*node, end func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	w = &world{t: t, ctx: ctx, limit: limit, rnd: rand.New(rand.NewPCG(seed, 6)), net: newNetwork(rand.New(rand.NewPCG(seed, 8))), workers: map[string]*worker{}, jobs: map[string]wire.Job{},
-		where: map[ledger.Task]string{}, used: map[string]float64{}, done: map[ledger.Task]bool{}, told: map[string]string{}, gone: map[string]time.Time{}, asked: map[string]bool{}, accepted: map[string]chan struct{}{}, taken: map[string]time.Time{}, ran: map[run]bool{}, operator: operator}
+		where: map[ledger.Task]string{}, used: map[string]float64{}, done: map[ledger.Task]bool{}, told: map[string]string{}, gone: map[string]time.Time{}, asked: map[string]bool{}, accepted: map[string]chan struct{}{}, taken: map[string]time.Time{}, ran: map[run]bool{}, operator: operator,
+		begun: map[string]time.Time{}, answered: map[string]time.Time{}, waits: map[string]time.Time{}}
 	w.most, w.size, w.upgraded = most, size, make(map[int]bool)
 	st = newStore(rand.New(rand.NewPCG(seed, 9)), w.broke)
 	w.store = st
-	cl = &cloud{w: w, most: most, asks: map[string][]string{}, hosts: map[string]wire.ListedHost{}, seen: map[string]time.Time{}, count: map[string]int{},
+	cl = &cloud{w: w, most: most, asks: map[string][]string{}, sizes: map[string]wire.Rent{}, hosts: map[string]wire.ListedHost{}, seen: map[string]time.Time{}, count: map[string]int{},
 		types: []wire.MachineType{{Label: "m", Cores: 8, RAM: 32, LocalGB: 20, PullRate: 1, Rate: 1, SpotPrice: 0.5, ReadyS: 3, Locales: []string{"a", "b"}}}}
 	var servers []*http.Server
 	for host, h := range map[string]http.Handler{"state": st, "cloud": cl} {
--- a/internal/sim/worker_test.go
+++ b/internal/sim/worker_test.go
@@ -39,6 +39,9 @@
 	node   int
 	wake   chan struct{}
 	deaf   bool // answers and commands to it are lost
+	mute   bool // it reaches no controller, while commands reach it
+	keep   bool // its next report is held back
+	kept   []byte
 	hung   bool // it stands still, and may go on within its lease; past that nothing is left to go on
 }
 
@@ -121,6 +124,9 @@
 	sent, node := time.Now(), k.node
 	k.mu.Unlock()
 	body, _ := json.Marshal(r)
+	if k.lost(ctx, body) {
+		return
+	}
 	rctx, cancel := context.WithTimeout(ctx, 4*time.Second)
 	defer cancel()
 	req, _ := http.NewRequestWithContext(rctx, "POST", "http://"+front(node)+"/agent/beat", bytes.NewReader(body))
@@ -158,6 +164,54 @@
 	}
 }
 
+// lost tells whether a report does not arrive: the worker waits for an answer, and tries
+// the next controller.
+func (k *worker) lost(ctx context.Context, body []byte) bool {
+	k.mu.Lock()
+	mute, keep := k.mute, k.keep
+	if keep {
+		k.kept, k.keep = body, false
+	}
+	k.mu.Unlock()
+	if !mute && !keep {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(4 * time.Second):
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire()
+	k.node = (k.node + 1) % k.w.size
+	k.nudge()
+	return true
+}
+
+// late delivers the report that was held back, to a controller, and tells whether there
+// was one. Nobody waits for the answer any more.
+func (k *worker) late(ctx context.Context, node int) bool {
+	k.mu.Lock()
+	body := k.kept
+	k.kept = nil
+	k.mu.Unlock()
+	if body != nil {
+		k.post(ctx, node, body)
+	}
+	return body != nil
+}
+
+// post sends a report whose answer goes to nobody.
+func (k *worker) post(ctx context.Context, node int, body []byte) {
+	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, "POST", "http://"+front(node)+"/agent/beat", bytes.NewReader(body))
+	if res, err := k.client.Do(req); err == nil {
+		io.Copy(io.Discard, res.Body)
+		res.Body.Close()
+	}
+}
+
 // echo has a copy of a report arrive again, for a share of them: much later, and at
 // whichever controller is there.
 func (k *worker) echo(ctx context.Context, node int, body []byte) {
@@ -168,15 +222,7 @@
 	if !again {
 		return
 	}
-	time.AfterFunc(by, func() {
-		rctx, cancel := context.WithTimeout(ctx, 4*time.Second)
-		defer cancel()
-		req, _ := http.NewRequestWithContext(rctx, "POST", "http://"+front(node)+"/agent/beat", bytes.NewReader(body))
-		if res, err := k.client.Do(req); err == nil {
-			io.Copy(io.Discard, res.Body)
-			res.Body.Close()
-		}
-	})
+	time.AfterFunc(by, func() { k.post(ctx, node, body) })
 }
 
 func (k *worker) nudge() {
@@ -232,6 +278,10 @@
 	t.Phase = wire.Running
 	k.nudge()
 	if j.Shape == wire.Batch {
+		if k.w.isDone(id) { // the result was kept
+			t.timer = time.AfterFunc(0, func() { k.complete(t, id) })
+			return
+		}
 		long := j.ExpectS * (1 + k.w.spread*float64(id.Index))
 		t.timer = time.AfterFunc(time.Duration(long*float64(time.Second)), func() { k.complete(t, id) })
 	}
