History: an answer that was on its way is no loss

Cause: a read asked for before this node began the first history came back after, empty, and was taken for the history's key being gone: a rebuild on the first start, placing began after 20 s instead of 5. What was asked before something later was learned is read anew. Two rows of TestDoubt fail without it.

--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -162,7 +162,8 @@
 	log *slog.Logger
 
 	mu      sync.Mutex
-	read    bool // the state service was asked at least once
+	read    bool      // the state service was asked at least once
+	latest  time.Time // what was read before is out of date
 	view    View
 	items   map[string]wire.Item
 	doubted bool
@@ -189,13 +190,14 @@
 	go k.refresh(ctx, wait)
 	return k.st.Follow(ctx, state.Follower{
 		Under: prefix, Wait: wait, Base: wait / 64, Limit: wait / 8,
-		Whole: func(items []wire.Item, _ time.Time) { k.whole(items) },
+		Whole: k.whole,
 		News: func(log []wire.Change, _ time.Time) {
 			if len(log) == 0 {
 				return
 			}
 			k.mu.Lock()
 			defer k.mu.Unlock()
+			k.latest = time.Now()
 			for _, c := range log {
 				if c.Put != "" {
 					k.items[c.Put] = wire.Item{Path: c.Put, Data: c.Data, Stamp: c.Stamp}
@@ -217,6 +219,7 @@
 			return
 		case <-k.kick:
 		}
+		asked := time.Now()
 		items, _, err := k.st.List(ctx, prefix)
 		if err != nil {
 			state.Backoff(ctx, try, wait/64, wait/8)
@@ -225,7 +228,7 @@
 			continue
 		}
 		try = 0
-		k.whole(items)
+		k.whole(items, asked)
 	}
 }
 
@@ -237,9 +240,17 @@
 	}
 }
 
-func (k *Keeper) whole(items []wire.Item) {
+// whole takes in all that is stored, as it was asked for at a time. An answer that was on
+// its way while this node learned something later is out of date: it may tell of a history
+// that has begun since as if it were gone.
+func (k *Keeper) whole(items []wire.Item, asked time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if asked.Before(k.latest) {
+		k.Check()
+		return
+	}
+	k.latest = asked
 	clear(k.items)
 	for _, it := range items {
 		k.items[it.Path] = it
@@ -355,6 +366,7 @@
 	if err != nil {
 		return
 	}
+	k.latest = time.Now()
 	clear(k.items)
 	k.items[put.Put] = wire.Item{Path: put.Put, Data: put.Data, Stamp: m.Stamp}
 	k.read = true
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -72,23 +72,33 @@
 		err     bool
 	}{
 		{"nothing read yet", func(*Keeper) {}, false, false, 0, true},
-		{"none, and nobody leads", func(k *Keeper) { k.whole(nil) }, false, false, 0, true},
-		{"none, by a leader of an earlier version", func(k *Keeper) { k.whole(nil) }, false, true, 0, false},
-		{"as ever", func(k *Keeper) { k.whole(a) }, false, false, 1, false},
-		{"its key is gone", func(k *Keeper) { k.whole(a); k.whole(nil) }, true, false, 0, true},
-		{"another began", func(k *Keeper) { k.whole(a); k.whole(nil); k.whole(b) }, false, false, 1, false},
-		{"doubted until another begins", func(k *Keeper) { k.whole(a); k.Doubt("x"); k.whole(a) }, true, false, 0, true},
-		{"doubted, and another began", func(k *Keeper) { k.whole(a); k.Doubt("x"); k.whole(b) }, false, false, 1, false},
-		{"an earlier one is back", func(k *Keeper) { k.whole(b); k.whole(a) }, true, false, 0, true},
+		{"none, and nobody leads", func(k *Keeper) { k.whole(nil, time.Now()) }, false, false, 0, true},
+		{"none, by a leader of an earlier version", func(k *Keeper) { k.whole(nil, time.Now()) }, false, true, 0, false},
+		{"as ever", func(k *Keeper) { k.whole(a, time.Now()) }, false, false, 1, false},
+		{"its key is gone", func(k *Keeper) { k.whole(a, time.Now()); k.whole(nil, time.Now()) }, true, false, 0, true},
+		{"another began", func(k *Keeper) { k.whole(a, time.Now()); k.whole(nil, time.Now()); k.whole(b, time.Now()) }, false, false, 1, false},
+		{"doubted until another begins", func(k *Keeper) { k.whole(a, time.Now()); k.Doubt("x"); k.whole(a, time.Now()) }, true, false, 0, true},
+		{"doubted, and another began", func(k *Keeper) { k.whole(a, time.Now()); k.Doubt("x"); k.whole(b, time.Now()) }, false, false, 1, false},
+		{"an earlier one is back", func(k *Keeper) { k.whole(b, time.Now()); k.whole(a, time.Now()) }, true, false, 0, true},
 		{"an earlier one is back, then a new one", func(k *Keeper) {
-			k.whole(b)
-			k.whole(a)
-			k.whole(items("history/id/C", `{"phase":"rebuild","lost":true,"epoch":9}`))
+			k.whole(b, time.Now())
+			k.whole(a, time.Now())
+			k.whole(items("history/id/C", `{"phase":"rebuild","lost":true,"epoch":9}`), time.Now())
+		}, false, false, 1, false},
+		{"a peer doubts the same", func(k *Keeper) { k.whole(a, time.Now()); k.Heard("p", "A", "x", true) }, true, false, 0, true},
+		{"a peer doubts another", func(k *Keeper) { k.whole(a, time.Now()); k.Heard("p", "B", "x", true) }, false, false, 1, false},
+		{"an answer was on its way when this node began it", func(k *Keeper) {
+			asked := time.Now()
+			k.Replaced(Marker{ID: "A", Stamp: 4, Born: Open, Epoch: 8})
+			k.whole(nil, asked)
+		}, false, false, 1, false},
+		{"an answer was on its way when a later one came", func(k *Keeper) {
+			asked := time.Now()
+			k.whole(a, time.Now())
+			k.whole(nil, asked)
 		}, false, false, 1, false},
-		{"a peer doubts the same", func(k *Keeper) { k.whole(a); k.Heard("p", "A", "x", true) }, true, false, 0, true},
-		{"a peer doubts another", func(k *Keeper) { k.whole(a); k.Heard("p", "B", "x", true) }, false, false, 1, false},
 		{"this node began another itself", func(k *Keeper) {
-			k.whole(a)
+			k.whole(a, time.Now())
 			k.Doubt("x")
 			k.Replaced(Marker{ID: "B", Stamp: 4, Born: Rebuild, Epoch: 8})
 		}, false, false, 1, false},
@@ -109,7 +119,7 @@
 // a generation long passed does not tell.
 func TestPeerOfAnotherHistory(t *testing.T) {
 	k := keeper()
-	k.whole(items("history/id/A", whole1))
+	k.whole(items("history/id/A", whole1), time.Now())
 	k.Heard("p", "B", "", false)
 	select {
 	case <-k.kick:
