Users are told of a withdrawal once no launch may still start its tasks; starved arrays go first

The leader now says that it knows only once no launch of the job is under way, for at most the time from which a machine counts as silent. TestNoStartAfterWithdrawal, TestHeldUp. The row "the leader has no room" of TestTell used an answer that no leader gives for that, and which now says that a launch is under way; it uses the real one.

What has waited 1.5 times the wait age goes first, the oldest first, as DESIGN has it of tasks past a set wait. TestLargestBegin, TestStarved.

Also: where all workers fell silent and peers are heard again first, or the leader's own part has no machine left, it does not take itself to be deaf (TestDeaf, TestMute).

--- a/internal/control/gang.go
+++ b/internal/control/gang.go
@@ -80,7 +80,7 @@
 // that large tasks and gangs are not starved by small ones: as what runs there
 // ends, the room adds up until they fit.
 func (r *reign) hold(queues []*queue, rooms []*room, now time.Time) {
-	aged := time.Duration(r.set.Operator.Placement.WaitAge * float64(r.set.Lease()))
+	aged := r.waitAge()
 	var old *ledger.Job
 	for _, q := range queues {
 		for _, j := range q.jobs {
--- a/internal/control/heed.go
+++ b/internal/control/heed.go
@@ -29,6 +29,32 @@
 	return true
 }
 
+// Settled tells whether no launch that this leader gave may still start a task of jobs
+// that are withdrawn, as far as it can be seen to soon: a machine that has not said what
+// became of a launch by the time at which it is taken for silent is returned, or is behind a
+// cut, and its user is told then.
+func (c *Control) Settled(refs ...string) bool {
+	r := c.cur.Load()
+	if r == nil {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now, long := r.now(), time.Duration(r.set.Operator.Fleet.Silence*float64(r.set.Report()))
+	for _, ref := range refs {
+		j := r.led.Job(ref)
+		if j == nil || !j.Withdrawn || now.Sub(j.WithdrawnAt) > long {
+			continue
+		}
+		for _, h := range r.led.HeldBy(j) {
+			if h.Sent && !h.Over && h.Running.IsZero() {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // heed takes in the withdrawals that this node knows of.
 func (r *reign) heed() {
 	for _, ref := range r.notices.All() {
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -347,9 +347,26 @@
 
 // ordered is a job with what it is ordered by.
 type ordered struct {
-	j    *ledger.Job
-	tier int // teams of one type may stand differently to their guarantees
-	u    urgency
+	j       *ledger.Job
+	tier    int // teams of one type may stand differently to their guarantees
+	u       urgency
+	starved bool
+}
+
+// starvation is from when on a job's tasks go before others of their type, as a ratio to
+// the wait age, by which types are chosen among.
+const starvation = 1.5
+
+// starved tells whether a job has waited for so long that it goes first, whatever times its
+// users named: else the largest would wait for as long as small ones keep coming. Not a
+// service of which a part may well run.
+func (r *reign) starved(j *ledger.Job, now time.Time) bool {
+	return j.Spec.Shape != wire.Standing && now.Sub(j.WaitingSince) > time.Duration(starvation*float64(r.waitAge()))
+}
+
+// waitAge is from when on what waits goes first among types.
+func (r *reign) waitAge() time.Duration {
+	return time.Duration(r.set.Operator.Placement.WaitAge * float64(r.set.Lease()))
 }
 
 // ration lets only as many jobs go first for being about to lose a time as there will
@@ -390,11 +407,21 @@
 func (r *reign) order(jobs []*ledger.Job, now time.Time) {
 	es := make([]ordered, len(jobs))
 	for i, j := range jobs {
-		es[i] = ordered{j, r.tier(j), r.urgency(j, now)}
+		es[i] = ordered{j, r.tier(j), r.urgency(j, now), r.starved(j, now)}
 	}
 	r.ration(es)
 	slices.SortFunc(es, func(a, b ordered) int {
-		return cmp.Or(cmp.Compare(a.tier, b.tier), a.u.compare(b.u), a.j.ReadyAt.Compare(b.j.ReadyAt), cmp.Compare(a.j.Ref, b.j.Ref))
+		switch {
+		case a.tier != b.tier:
+			return cmp.Compare(a.tier, b.tier)
+		case a.starved && b.starved:
+			return cmp.Or(a.j.WaitingSince.Compare(b.j.WaitingSince), cmp.Compare(a.j.Ref, b.j.Ref))
+		case a.starved:
+			return -1
+		case b.starved:
+			return 1
+		}
+		return cmp.Or(a.u.compare(b.u), a.j.ReadyAt.Compare(b.j.ReadyAt), cmp.Compare(a.j.Ref, b.j.Ref))
 	})
 	for i, e := range es {
 		jobs[i] = e.j
--- a/internal/control/quiet.go
+++ b/internal/control/quiet.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"rillflow/internal/agent"
@@ -57,6 +58,21 @@
 	return silence.Host{Zone: h.Zone, Owner: h.Owner, Loaners: h.Loaners, Quiet: r.quietFor(h, now)}
 }
 
+// Bare tells whether this controller leads, and no machine of its own part is up: that it
+// hears none then says nothing of its own hearing.
+func (c *Control) Bare() bool {
+	r := c.cur.Load()
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !slices.ContainsFunc(r.sorted, func(h *agent.Host) bool {
+		_, leaving := r.gone[h.Name]
+		return h.Owner == r.set.Node && !leaving && !h.Heard.IsZero()
+	})
+}
+
 // cutOff tells whether a silent host is more likely behind a cut than dead: it is
 // neither returned nor counted on until that has lasted for longer than cuts do.
 func (r *reign) cutOff(h *agent.Host, now time.Time) bool {
--- a/internal/part/deaf.go
+++ b/internal/part/deaf.go
@@ -18,6 +18,8 @@
 	joined time.Time // an owner since
 	rest   time.Time // deaf until then
 	times  int       // found deaf in a row
+	fresh  time.Time // when last a peer had just heard a worker
+	since  time.Time // since when that is so again and again
 }
 
 // Heard notes that a worker made itself heard here.
@@ -37,6 +39,7 @@
 const (
 	deafAfter = 1.75 // silence, of those that report here
 	freshly   = 0.5  // a peer that heard one so lately is not
+	lapse     = 2.5  // peers that heard none for so long begin anew
 	crowd     = 4    // fewer may well be silent together
 )
 
@@ -47,13 +50,10 @@
 func (p *Part) Hearing() peer.Hearing {
 	now, report := p.now(), float64(p.set.Report())
 	owner := slices.Contains(p.known().Parts, p.set.Node)
-	fresh := false
-	for _, s := range p.links.Peers() {
-		fresh = fresh || p.fresh(s)
-	}
 	e := &p.ears
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	fresh, others := p.elsewhere(now)
 	if !owner {
 		e.joined = time.Time{}
 	} else if e.joined.IsZero() {
@@ -63,7 +63,7 @@
 	quiet := float64(min(now.Sub(e.heard), now.Sub(e.joined)))
 	switch {
 	case now.Before(e.rest):
-	case owner && fresh && quiet > deafAfter*report && (many || e.times > 0):
+	case owner && fresh && min(quiet, float64(others)) > deafAfter*report && (many || e.times > 0):
 		e.rest = now.Add(p.set.Lease() << min(e.times, 4))
 		e.times++
 	case owner && quiet < report && now.Sub(e.joined) > p.set.Lease():
@@ -76,24 +76,37 @@
 	return peer.Hearing{Age: age, Deaf: now.Before(e.rest)}
 }
 
-// Unheard tells whether peers are linked, and none of them hears any worker: where all
-// workers are cut off, it is no fault of this node's.
+// elsewhere tells whether a peer heard a worker just now, and for how long workers have
+// been reaching peers: where all were silent, those of one node are heard again a little
+// ahead of those of the next, which is not deaf for that. Run it with the lock held.
+func (p *Part) elsewhere(now time.Time) (fresh bool, long time.Duration) {
+	e, report := &p.ears, float64(p.set.Report())
+	for _, s := range p.links.Peers() {
+		fresh = fresh || s.Live && s.HearingKnown && float64(s.Hearing.Age) < freshly*report
+	}
+	if fresh {
+		if float64(now.Sub(e.fresh)) > lapse*report {
+			e.since = now
+		}
+		e.fresh = now
+	}
+	return fresh, now.Sub(e.since)
+}
+
+// Unheard tells whether peers are linked, and none of them has been hearing workers
+// either: where all workers are cut off, it is no fault of this node's.
 func (p *Part) Unheard() bool {
 	linked := false
 	for _, s := range p.links.Peers() {
-		if !s.Live {
-			continue
-		}
-		if linked = true; !s.HearingKnown || p.fresh(s) {
+		if s.Live && !s.HearingKnown {
 			return false
 		}
+		linked = linked || s.Live
 	}
-	return linked
-}
-
-// fresh tells whether a linked peer heard a worker just now.
-func (p *Part) fresh(s peer.Status) bool {
-	return s.Live && s.HearingKnown && float64(s.Hearing.Age) < freshly*float64(p.set.Report())
+	p.ears.mu.Lock()
+	defer p.ears.mu.Unlock()
+	fresh, long := p.elsewhere(p.now())
+	return linked && (!fresh || float64(long) < deafAfter*float64(p.set.Report()))
 }
 
 // Deaf tells whether this node is cut off from workers that reach others.
--- a/internal/serve/front.go
+++ b/internal/serve/front.go
@@ -197,7 +197,7 @@
 // Withdrawn, Reached and Linked have withdrawals known to all controllers.
 
 func (d *daemon) Withdrawn(n *withdrawn.Note) withdrawn.Ack {
-	return d.gone.Take(n, d.control.Heed)
+	return d.gone.Take(n, d.control)
 }
 
 func (d *daemon) Reached(ctx context.Context, node string) { d.teller.Reached(ctx, node) }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -129,7 +129,7 @@
 		Settings: set, State: d.st, Cloud: cloud, Direct: agent.NewDirect(set.Report(), int(idleWorkers*float64(facts.Resources.Sockets)), nw.Dial), Elector: d.el,
 		Types: types, Parts: d.part, Full: d.memory.High, Ring: kept, History: d.hist, Copies: d.copies, Peers: d.mesh, Notices: d.gone, Log: log,
 	})
-	d.teller = &withdrawn.Teller{Node: set.Node, Notices: d.gone, Link: d.mesh, Leads: d.control.Heed, Leader: d.leads}
+	d.teller = &withdrawn.Teller{Node: set.Node, Notices: d.gone, Link: d.mesh, Own: d.control, Pause: set.Report() / 256, Leader: d.leads}
 	mux := http.NewServeMux()
 	intake.New(set, d.st, types, d.counts, d.part.Refused, d.memory.High, d.door, d, d.copies, d.teller, day, log).Routes(mux)
 	d.users = mux
@@ -246,7 +246,7 @@
 			return ctx.Err()
 		case <-tick.C:
 		}
-		if d.part.Deaf() {
+		if d.part.Deaf() && !d.control.Bare() {
 			// Another leads and answers the workers meanwhile.
 			d.el.Resign(d.set.Lease(), "workers reach others but not this node")
 		}
--- a/internal/withdrawn/tell.go
+++ b/internal/withdrawn/tell.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"rillflow/internal/codec"
+	"rillflow/internal/state"
 )
 
 // Note tells a peer of withdrawals.
@@ -36,7 +38,7 @@
 
 // Ack answers a note.
 type Ack struct {
-	Taken   bool // the peer knows now; false: it has no room
+	Taken   bool // the peer knows now; false: it has no room, or, if it leads, launches are under way
 	Leads   bool // and sees to it, as the leader, that the tasks are gone
 	Settled bool // the peer knows all that matter
 	Refs    []string
@@ -59,9 +61,17 @@
 	return a, d.Done()
 }
 
-// Take takes in a peer's note. leads tells whether this node leads, once it knows of the
-// jobs.
-func (n *Notices) Take(t *Note, leads func() bool) Ack {
+// Leader is this node while it leads.
+type Leader interface {
+	// Heed takes in the notices, and tells whether this node leads and has.
+	Heed() bool
+	// Settled tells whether no launch that it gave may still start a task of the jobs.
+	Settled(refs ...string) bool
+}
+
+// Take takes in a peer's note. While a launch of the jobs is under way, a leader that
+// is asked whether a user may be told says that it knows by Leads alone.
+func (n *Notices) Take(t *Note, l Leader) Ack {
 	a := Ack{}
 	if t.All && t.Settled {
 		a.Taken = n.Inherit(t.From, t.Refs...)
@@ -71,9 +81,11 @@
 	if !a.Taken {
 		return a
 	}
-	a.Leads = leads()
+	a.Leads = l.Heed()
 	if t.All {
 		a.Settled, a.Refs = n.Settled(), n.All()
+	} else if a.Leads {
+		a.Taken = l.Settled(t.Refs...)
 	}
 	return a
 }
@@ -90,6 +102,9 @@
 	ErrOld = errors.New("withdrawn: the peer knows no notices")
 	// ErrUntold: a controller that may still answer workers does not know.
 	ErrUntold = errors.New("withdrawn: not known to all that may keep its tasks")
+	// errUnderWay: the leader knows, but a launch that it gave before may still start a
+	// task. It soon knows better.
+	errUnderWay = fmt.Errorf("%w: a launch is under way", ErrUntold)
 )
 
 // Teller sees to it that a withdrawal is known to whoever must know before a user is told.
@@ -97,8 +112,9 @@
 	Node    string
 	Notices *Notices
 	Link    Link
-	// Leads tells whether this node leads, its ledger read and the notices in it.
-	Leads func() bool
+	Own     Leader
+	// Pause is the first of those between asking a leader whether its launches are settled.
+	Pause time.Duration
 	// Leader reads from the state service who leads now.
 	Leader func(ctx context.Context) (string, error)
 }
@@ -149,15 +165,28 @@
 // Tell has a committed withdrawal known. A nil error means that a user may be told: all
 // controllers know, or the one that leads does. That one must be the leader at some time
 // after the commit, hence the read: whoever leads later finds the withdrawal when it
-// reads what is stored. It sees to machines whose answers do not reach them.
+// reads what is stored. It sees to machines whose answers do not reach them. For as long as
+// ctx lasts, a leader is also given the time to stop what it was about to start.
 func (t *Teller) Tell(ctx context.Context, ref string) error {
 	if !t.Notices.Add("", ref) {
 		return fmt.Errorf("%w: no room", ErrUntold)
 	}
-	leads := t.Leads()
+	for try := 0; ; try++ {
+		err := t.tell(ctx, ref)
+		if !errors.Is(err, errUnderWay) || !state.Backoff(ctx, try, t.Pause, 16*t.Pause) {
+			return err
+		}
+	}
+}
+
+func (t *Teller) tell(ctx context.Context, ref string) error {
+	leads := t.Own.Heed()
+	if leads && !t.Own.Settled(ref) {
+		return errUnderWay
+	}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	all, led := true, map[string]bool{t.Node: leads}
+	all, held, led := true, false, map[string]bool{t.Node: leads}
 	for _, p := range t.Notices.opt.Peers {
 		wg.Go(func() {
 			a, err := t.note(ctx, p, &Note{Refs: []string{ref}})
@@ -167,12 +196,16 @@
 			mu.Lock()
 			defer mu.Unlock()
 			all = all && a.Taken
+			held = held || a.Leads && !a.Taken
 			led[p] = a.Taken && a.Leads
 		})
 	}
 	wg.Wait()
-	if all {
+	switch {
+	case all:
 		return nil
+	case held:
+		return errUnderWay
 	}
 	leader, err := t.Leader(ctx)
 	if err != nil {
