Arrays of which nothing has begun share the rooms with the rest

Now arrays of which nothing has begun when the wait age is over are given half of the work that their type is given, the oldest first, until 2.1 wait ages.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -121,22 +121,23 @@
 	chains  chan struct{}
 	raises  chan struct{}
 
-	mu     sync.Mutex
-	led    *ledger.Ledger
-	hosts  map[string]*agent.Host
-	sorted []*agent.Host        // by name, for decisions that repeat
-	gone   map[string]time.Time // released, with when
-	rents  *fleet.Planner
-	ahead  map[string]bool // teams whose work is rented ahead for
-	listed map[string]wire.ListedHost
-	began  time.Time
-	heard  time.Time // last beat of any host
-	took   *latencies
-	quiet  *silence.Watch
-	rec    *record   // nil: no audit record is kept
-	tidied time.Time // when what nothing waits for was last written, or could have been
-	back   *restore  // nil: nothing was lost
-	traces map[string]*trace
+	mu       sync.Mutex
+	led      *ledger.Ledger
+	hosts    map[string]*agent.Host
+	sorted   []*agent.Host        // by name, for decisions that repeat
+	gone     map[string]time.Time // released, with when
+	rents    *fleet.Planner
+	ahead    map[string]bool // teams whose work is rented ahead for
+	listed   map[string]wire.ListedHost
+	began    time.Time
+	heard    time.Time // last beat of any host
+	took     *latencies
+	quiet    *silence.Watch
+	rec      *record             // nil: no audit record is kept
+	tidied   time.Time           // when what nothing waits for was last written, or could have been
+	deficits map[string]*deficit // of starved arrays, by type
+	back     *restore            // nil: nothing was lost
+	traces   map[string]*trace
 }
 
 // Serve is one term.
@@ -152,7 +153,7 @@
 		began:  c.now(),
 		took:   newLatencies(),
 		rents:  fleet.NewPlanner(c.set, term.First), ahead: make(map[string]bool),
-		quiet: newQuiet(c.set), traces: make(map[string]*trace),
+		quiet: newQuiet(c.set), traces: make(map[string]*trace), deficits: make(map[string]*deficit),
 	}
 	if c.ring != nil {
 		r.rec = newRecord(c.ring, c.set.Node, c.log)
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -297,6 +297,7 @@
 	m.h.Fetches(j.Spec.Bundle, j.Spec.SizeGB)
 	r.log.Debug("claim", "task", c.Task(), "try", c.Try, "host", c.Host)
 	m.take(j)
+	r.placed(j)
 	return true
 }
 
@@ -353,22 +354,6 @@
 	starved bool
 }
 
-// starvation is from when on a job's tasks go before others of their type, as a ratio to
-// the wait age, by which types are chosen among.
-const starvation = 1.5
-
-// starved tells whether a job has waited for so long that it goes first, whatever times its
-// users named: else the largest would wait for as long as small ones keep coming. Not a
-// service of which a part may well run.
-func (r *reign) starved(j *ledger.Job, now time.Time) bool {
-	return j.Spec.Shape != wire.Standing && now.Sub(j.WaitingSince) > time.Duration(starvation*float64(r.waitAge()))
-}
-
-// waitAge is from when on what waits goes first among types.
-func (r *reign) waitAge() time.Duration {
-	return time.Duration(r.set.Operator.Placement.WaitAge * float64(r.set.Lease()))
-}
-
 // ration lets only as many jobs go first for being about to lose a time as there will
 // be room for in that moment, the least work first: in a long overload nearly all are
 // about to lose one, the largest would go before all others, and most would lose it all
@@ -410,16 +395,17 @@
 		es[i] = ordered{j, r.tier(j), r.urgency(j, now), r.starved(j, now)}
 	}
 	r.ration(es)
+	r.share(es)
 	slices.SortFunc(es, func(a, b ordered) int {
 		switch {
 		case a.tier != b.tier:
 			return cmp.Compare(a.tier, b.tier)
-		case a.starved && b.starved:
-			return cmp.Or(a.j.WaitingSince.Compare(b.j.WaitingSince), cmp.Compare(a.j.Ref, b.j.Ref))
-		case a.starved:
+		case a.starved && !b.starved:
 			return -1
-		case b.starved:
+		case b.starved && !a.starved:
 			return 1
+		case a.starved:
+			return cmp.Or(a.j.WaitingSince.Compare(b.j.WaitingSince), cmp.Compare(a.j.Ref, b.j.Ref))
 		}
 		return cmp.Or(a.u.compare(b.u), a.j.ReadyAt.Compare(b.j.ReadyAt), cmp.Compare(a.j.Ref, b.j.Ref))
 	})
--- /dev/null
+++ b/internal/control/starve_test.go
@@ -0,0 +1,71 @@
+package control
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"rillflow/internal/ledger"
+	"rillflow/internal/settings"
+	"rillflow/internal/wire"
+)
+
+// What has waited for too long, with nothing of it begun, shares the rooms with the rest of
+// its type: it goes first, the oldest first, while it was given no more work; not a service,
+// not ahead of what its team is guaranteed, and not for ever.
+func TestStarved(t *testing.T) {
+	const s = time.Second // the wait age is 120 s
+	for _, tc := range []struct {
+		name  string
+		waits [3]time.Duration // of jobs of one, two and three tasks
+		begun string           // one of which a task runs
+		given []string         // tasks placed before, after an order with these waits
+		tweak func(js []*wire.Job)
+		want  []string
+	}{
+		{"the least work first", [3]time.Duration{10 * s, 20 * s, 30 * s}, "", nil, nil, []string{"req-1", "req-2", "req-3"}},
+		{"the largest is starved", [3]time.Duration{10 * s, 20 * s, 121 * s}, "", nil, nil, []string{"req-3", "req-1", "req-2"}},
+		{"not yet", [3]time.Duration{10 * s, 20 * s, 119 * s}, "", nil, nil, []string{"req-1", "req-2", "req-3"}},
+		{"it has begun", [3]time.Duration{10 * s, 20 * s, 121 * s}, "req-3", nil, nil, []string{"req-1", "req-2", "req-3"}},
+		{"not for ever", [3]time.Duration{10 * s, 20 * s, 253 * s}, "", nil, nil, []string{"req-1", "req-2", "req-3"}},
+		{"of two the oldest", [3]time.Duration{10 * s, 130 * s, 190 * s}, "", nil, nil, []string{"req-3", "req-2", "req-1"}},
+		{"it was given more", [3]time.Duration{10 * s, 20 * s, 121 * s}, "", []string{"req-3"}, nil, []string{"req-1", "req-2", "req-3"}},
+		{"and then the others", [3]time.Duration{10 * s, 20 * s, 121 * s}, "", []string{"req-3", "req-1"}, nil, []string{"req-3", "req-1", "req-2"}},
+		{"a service", [3]time.Duration{10 * s, 20 * s, 121 * s}, "", nil, func(js []*wire.Job) { js[2].Shape = wire.Standing }, []string{"req-1", "req-2", "req-3"}},
+		{"past its team's guarantee", [3]time.Duration{10 * s, 20 * s, 121 * s}, "", nil, func(js []*wire.Job) { js[2].Owner = "u" }, []string{"req-1", "req-2", "req-3"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := term(t)
+			r.set.Operator.Placement.WaitAge = 4 // of a lease of 30 s
+			r.led = ledger.New("n.1", []settings.Team{{Name: "t", CPUs: 100, CPUsMax: 100}, {Name: "u", CPUsMax: 100}})
+			var specs []*wire.Job
+			for i := range 3 {
+				specs = append(specs, &wire.Job{Owner: "t", Class: "f", Shape: wire.Batch, Rank: "standard", Members: i + 1, Cores: 1, ExpectS: 10})
+			}
+			if tc.tweak != nil {
+				tc.tweak(specs)
+			}
+			var js []*ledger.Job
+			for i, spec := range specs {
+				j := r.add([]string{"req-1", "req-2", "req-3"}[i], *spec)
+				j.WaitingSince = now.Add(-tc.waits[i])
+				js = append(js, j)
+			}
+			if tc.begun != "" {
+				r.run(t, r.led.Job(tc.begun), "h0", time.Second)
+			}
+			r.order(js, now)
+			for _, ref := range tc.given {
+				r.placed(r.led.Job(ref))
+			}
+			r.order(js, now)
+			var got []string
+			for _, j := range js {
+				got = append(got, j.Ref)
+			}
+			if !slices.Equal(got, tc.want) {
+				t.Errorf("%v, want %v", got, tc.want)
+			}
+		})
+	}
+}
