--- a/internal/sim/meeting_test.go
+++ b/internal/sim/meeting_test.go
@@ -88,6 +88,7 @@
 		m.leader = st.leads()
 		began := time.Now()
 		troubles(m)
+		w.calms(cl)
 		w.linger()
 		time.Sleep(max(0, 400*time.Second-time.Since(began)))
 		end()
@@ -308,6 +309,54 @@
 	{"deaf machines", func(m *meeting, n int, long time.Duration) {
 		m.strike(m.some(0.5), long, func(k *worker, on bool) { k.deaf = on })
 	}},
+	{"mute machines", func(m *meeting, n int, long time.Duration) {
+		m.strike(m.some(0.5), long, func(k *worker, on bool) { k.mute = on })
+	}},
+	{"many withdrawn at once, and machines hang", func(m *meeting, n int, long time.Duration) {
+		m.w.mu.Lock()
+		var refs []string
+		for t := range m.w.where {
+			if !slices.Contains(refs, t.Ref) && len(refs) < 4 {
+				refs = append(refs, t.Ref)
+			}
+		}
+		m.w.mu.Unlock()
+		during(
+			func() {
+				m.strike(m.some(0.3), min(long, 2*lease), func(k *worker, on bool) { k.hung = on })
+			},
+			func() { m.insist(n, 4*cancel, refs...) },
+		)
+	}},
+	{"odd requests", func(m *meeting, n int, long time.Duration) { m.w.oddities(m.ctx, long) }},
+	{"slow links", func(m *meeting, n int, long time.Duration) {
+		hosts := append(m.others(n), name(n))
+		m.w.net.slow(time.Duration(50+m.w.intN(600))*time.Millisecond, hosts...)
+		time.Sleep(long)
+		m.w.net.slow(0, hosts...)
+	}},
+	{"reports held back", func(m *meeting, n int, long time.Duration) {
+		hosts := m.some(0.4)
+		m.strike(hosts, 7*time.Second, func(k *worker, on bool) { k.keep = on })
+		time.Sleep(long)
+		m.strike(hosts, 0, func(k *worker, on bool) {
+			if on {
+				go k.late(m.ctx, max(0, m.st.leads()))
+			}
+		})
+	}},
+	{"machines die", func(m *meeting, n int, long time.Duration) {
+		for _, h := range m.some(0.2) {
+			m.cl.die(h)
+		}
+	}},
+	{"all away", func(m *meeting, n int, long time.Duration) {
+		var wg sync.WaitGroup
+		for n := range m.w.size {
+			wg.Go(func() { m.end(n, lease+long) })
+		}
+		wg.Wait()
+	}},
 	{"machines hang", func(m *meeting, n int, long time.Duration) {
 		m.strike(m.some(0.5), long, func(k *worker, on bool) { k.hung = on })
 	}},
@@ -376,8 +425,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		rnd := rand.New(rand.NewPCG(seed, 12))
 		ctx, w, st, cl, cs, end := beginWith(t, seed, size, 60, 6, "")
-		m := &meeting{T: t, w: w, st: st, cl: cl, cs: cs, ctx: ctx, began: time.Now()}
+		m := &meeting{T: t, w: w, st: st, cl: cl, cs: cs, ctx: ctx, began: time.Now(), client: &http.Client{Transport: &http.Transport{DialContext: w.net.at("user").Dial, DisableKeepAlives: true}}}
 		w.spread = 0.8
+		w.wg.Go(func() { w.strangers(ctx) })
 		for i := range jobs {
 			j := wire.Job{Ref: ref(i), Class: "c", Owner: "ab"[i%2 : i%2+1], Shape: wire.Batch, Rank: "standard", Members: 2 + rnd.IntN(2), Cores: 1, RAM: 1, Bundle: "img", Loaners: i%3 == 0, ExpectS: float64(5 + rnd.IntN(60))}
 			withdraw := time.Duration(0)
@@ -391,6 +441,7 @@
 		}
 		time.Sleep(20 * time.Second)
 		troubles(m)
+		w.calms(cl)
 		time.Sleep(max(240*time.Second, 480*time.Second-time.Since(m.began))) // the longest task takes 170 s, from a start of its own
 		w.linger()
 		end()
@@ -399,6 +450,9 @@
 		for _, b := range w.breaches {
 			t.Error(b)
 		}
+		if len(w.late) > 0 {
+			t.Logf("%d starts after a withdrawal was told, the latest %v after", len(w.late), slices.Max(w.late))
+		}
 		for r, j := range w.jobs {
 			if got := w.told[r]; got != wire.Done && got != wire.Withdrawn && (j.Shape == wire.Batch || w.asked[r]) {
 				t.Errorf("%s is %q at the end", r, got)
