A machine that fails tasks and is not returned is tried again once in a lease

Found by listing what may keep a job waiting: where most machines fail tasks none is returned, and only a success clears a machine's failures, but no task was given to it; the same where a service runs on. Once a fault is over, such machines stood empty for good. TestTriedAgain fails without it.

--- a/internal/agent/host.go
+++ b/internal/agent/host.go
@@ -54,6 +54,7 @@
 	Draining bool      // takes no new tasks, and goes once empty
 	Sulking  time.Time // refused a launch for want of room: not before this
 	Errors   []string  // jobs whose tasks failed here since the last success
+	Failed   time.Time // when the last did
 	Idle     time.Time // since when nothing is on it
 	Wake     chan struct{}
 }
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -300,7 +300,7 @@
 	}
 	j.FailedOn[h.Name] = true
 	j.Fails++
-	if len(h.Errors) < 16 {
+	if h.Failed = now; len(h.Errors) < 16 {
 		h.Errors = append(h.Errors, j.Ref)
 	}
 	r.log.Info("task failed", "job", j.Ref, "host", h.Name, "job_fails", j.Fails, "host_fails", len(h.Errors))
@@ -342,6 +342,13 @@
 	return n >= 2
 }
 
+// shunned tells whether a machine that fails what it starts is not to be tried for now. One
+// that is not returned, because most do or for what runs on there, is tried again once in
+// a lease: it may be well by then, and only a success shows that.
+func (r *reign) shunned(h *agent.Host, now time.Time) bool {
+	return r.badHost(h) && now.Sub(h.Failed) < r.set.Lease()
+}
+
 // lost frees a claim on proof that its task is gone.
 func (r *reign) lost(c *ledger.Held, why string) {
 	r.log.Debug("task lost", "task", c.Task(), "host", c.Host, "why", why)
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -506,7 +506,7 @@
 // usable tells whether a host may take new tasks.
 func (r *reign) usable(h *agent.Host, now time.Time) bool {
 	_, leaving := r.gone[h.Name]
-	return !leaving && r.alive(h, now) && h.WarnAt.IsZero() && !h.Draining && !now.Before(h.Sulking) && !r.badHost(h)
+	return !leaving && r.alive(h, now) && h.WarnAt.IsZero() && !h.Draining && !now.Before(h.Sulking) && !r.shunned(h, now)
 }
 
 func (r *reign) rooms(now time.Time) []*room {
