--- a/tools/served/main.go
+++ b/tools/served/main.go
@@ -1,5 +1,5 @@
 // Command served reads entries of the bench's journal and tells how much of each class of
-// jobs and of each team was served on every day played: of what was asked, the share that
+// jobs, of each team and of a class's largest jobs was served on every day played: of what was asked, the share that
 // the bench counts as served. It exits with 1 if any is under a half, which fails a day,
 // and with 2 if an entry cannot be read.
 //
