--- a/internal/control/starve.go
+++ b/internal/control/starve.go
@@ -10,11 +10,11 @@
 
 // Within a type, arrays go by the times that their users named and by the least work, which
 // serves the most of them; but the largest would wait for as long as small ones keep coming.
-// So those of which nothing has begun when the wait age is over share the rooms with the rest:
+// So those of which nothing has begun after a good wait age share the rooms with the rest:
 // each side is given as much work as the other, on theirs the oldest first. One that waits
 // for much longer is as good as lost in that overload, and is left to the rest.
 const (
-	starves = 1   // from which wait on, as a ratio to the wait age
+	starves = 1.4 // from which wait on, as a ratio to the wait age
 	forlorn = 2.1 // and until which
 )
 
