--- a/internal/sim/together_test.go
+++ b/internal/sim/together_test.go
@@ -266,6 +266,11 @@
 			m.st.refuseAlone(name(m.leader), false)
 		}},
 		{"it is back at once", 3 * lease / 2, func(m *meeting) { m.end(m.leader, 50*time.Millisecond) }},
+		{"it stays", 3 * lease / 2, func(m *meeting) {}},
+		{"it crashes once they are withdrawn", 3 * lease / 2, func(m *meeting) {
+			time.Sleep(5 * time.Second)
+			m.end(m.leader, 8*time.Second)
+		}},
 		{"it is cut off", 3 * lease / 2, func(m *meeting) {
 			m.apart([]string{name(m.leader)}, append(m.others(m.leader), "state"), 20*time.Second)
 		}},
@@ -984,7 +989,12 @@
 			t.Parallel()
 			together(t, plan{seed: 15, limit: 20, jobs: arrays(14, 3, 12*time.Second, nil), troubles: func(m *meeting) {
 				m.w.echo(0.6)
-				tc.also(m)
+				during(func() { tc.also(m) }, func() {
+					for i := range 6 {
+						time.Sleep(4 * time.Second)
+						m.insist((m.leader+1)%nodes, cancel, ref(i))
+					}
+				})
 				m.w.echo(0)
 				time.Sleep(2 * lease)
 			}})
