--- a/internal/control/late_test.go
+++ b/internal/control/late_test.go
@@ -132,3 +132,35 @@
 		})
 	}
 }
+
+// learner counts what is learned.
+type learner struct {
+	parts
+	n *int
+}
+
+func (l learner) Learn(agent.Finish) { *l.n++ }
+
+// A result that was kept from an earlier try comes back at once: the task is done, and
+// nothing is learned of how long it runs.
+func TestKeptResultTeachesNothing(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		ran   bool // it was seen running
+		learn int
+	}{{"seen running", true, 1}, {"kept", false, 0}} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, n := term(t), 0
+			r.took, r.parts, r.term = newLatencies(), learner{n: &n}, &held{lead.Map{Epoch: 7, Parts: []string{"n"}}}
+			j := r.add("req-1", wire.Job{Class: "f", Shape: wire.Batch, Members: 2, Cores: 2})
+			c := r.run(t, j, "h0", time.Minute)
+			if !tc.ran {
+				c.Running = time.Time{}
+			}
+			r.report(&wire.Report{Host: "h0", Flavor: "m", Locale: "a", Tenure: 1, Tick: 1, Members: []wire.Member{{Member: "req-1/0", Try: c.Try, Phase: wire.Ended, Cause: wire.CauseDone}}})
+			if n != tc.learn || j.Ran.N != tc.learn || j.Done() != 1 {
+				t.Errorf("learned %d, %d; %d done", n, j.Ran.N, j.Done())
+			}
+		})
+	}
+}
--- a/internal/intake/told_test.go
+++ b/internal/intake/told_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"rillflow/internal/wire"
@@ -50,3 +51,27 @@
 		t.Errorf("%+v", p)
 	}
 }
+
+// A job is done while its user withdraws it, between the read and the write: the end that
+// was first stands, and is told.
+func TestWithdrawMeetsEnd(t *testing.T) {
+	k := &keys{m: map[string]string{}}
+	_, mux := users(t, k)
+	if rec := submit(mux, "req-1", nil, "", ""); rec.Code != 201 {
+		t.Fatalf("submitted: %d", rec.Code)
+	}
+	k.late = func() {
+		if _, live := k.m["j/req-1"]; live {
+			delete(k.m, "j/req-1")
+			k.m["d/req-1"] = `{"phase":"done","tasks":16}`
+		}
+	}
+	rec := httptest.NewRecorder()
+	mux.ServeHTTP(rec, httptest.NewRequest("POST", "/v1/jobs/req-1/withdraw", nil))
+	if rec.Code != 200 || !strings.Contains(rec.Body.String(), wire.Done) {
+		t.Errorf("%d %s", rec.Code, rec.Body)
+	}
+	if end := k.m["d/req-1"]; !strings.Contains(end, wire.Done) {
+		t.Errorf("stored: %s", end)
+	}
+}
--- a/internal/sim/together_test.go
+++ b/internal/sim/together_test.go
@@ -279,8 +279,10 @@
 			t.Parallel()
 			together(t, plan{seed: 2, limit: 12, jobs: arrays(10, 4, 60*time.Second, func(i int, j *wire.Job) { j.Cores = 1.5 }), rest: 400 * time.Second,
 				troubles: func(m *meeting) {
+					cut := m.busy()
+					cut = cut[:(len(cut)+1)/2]
 					during(
-						func() { m.apart(m.some(0.5), m.controllers(), tc.cut) },
+						func() { m.apart(cut, m.controllers(), tc.cut) },
 						func() { time.Sleep(time.Second); tc.change(m) },
 						func() {
 							time.Sleep(3 * time.Second)
