--- a/internal/sim/worker_test.go
+++ b/internal/sim/worker_test.go
@@ -38,9 +38,10 @@
 	tasks  map[string]*task
 	node   int
 	wake   chan struct{}
-	deaf   bool // answers and commands to it are lost
-	mute   bool // it reaches no controller, while commands reach it
-	keep   bool // its next report is held back
+	deaf   bool      // answers and commands to it are lost
+	mute   bool      // it reaches no controller, while commands reach it
+	muted  time.Time // since when
+	keep   bool      // its next report is held back
 	kept   []byte
 	hung   bool // it stands still, and may go on within its lease; past that nothing is left to go on
 }
@@ -275,6 +276,11 @@
 	}
 	id, _ := ledger.ParseTask(t.Member.Member)
 	j := k.w.on(id, t.Try, k.h)
+	if long := time.Since(k.muted); k.mute && long > lease {
+		k.w.mu.Lock()
+		k.w.broke("mute: %s starts on %s, which has reached no controller for %v", id, k.h.Ref, long)
+		k.w.mu.Unlock()
+	}
 	t.Phase = wire.Running
 	k.nudge()
 	if j.Shape == wire.Batch {
