--- a/internal/sim/together_test.go
+++ b/internal/sim/together_test.go
@@ -375,6 +375,7 @@
 			var epochs []uint64
 			together(t, plan{seed: 4, jobs: arrays(jobs, members, 150*time.Second, nil), troubles: func(m *meeting) {
 				m.st.mu.Lock()
+				epochs = nil
 				m.st.done = func(_ string, c wire.Commit) bool {
 					for _, p := range c.Apply {
 						var e lead.Map
