--- a/internal/sim/checks_test.go
+++ b/internal/sim/checks_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -101,9 +102,8 @@
 		f := free{h: k.h, cores: types[i].Cores, ram: types[i].RAM, tasks: make(map[string]bool)}
 		k.mu.Lock()
 		well := !k.hung && !k.deaf && !k.mute
-		names := slices.Sorted(maps.Keys(k.tasks))
-		for _, n := range names {
-			if t := k.tasks[n]; t.Phase != wire.Ended {
+		for n, t := range k.tasks {
+			if t.Phase != wire.Ended {
 				f.tasks[n] = true
 			}
 		}
@@ -179,41 +179,38 @@
 	}
 }
 
-// reply is what a controller answered; of status 0 if it did not.
-type reply struct {
-	status int
-	body   []byte
+// client is a user's, who opens a connection for each request.
+func (w *world) client() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: w.net.at("user").Dial, DisableKeepAlives: true}}
 }
 
-// fetch sends a request to a controller.
-func (w *world) fetch(ctx context.Context, c *http.Client, n int, method, path string, body []byte) reply {
+// ask sends a request to a controller, and gives the answer's status, 0 if there is none,
+// and the phase that it tells.
+func (w *world) ask(ctx context.Context, c *http.Client, n int, method, path string, body []byte) (status int, phase string) {
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
 	req, _ := http.NewRequestWithContext(ctx, method, "http://"+front(n)+path, bytes.NewReader(body))
 	res, err := c.Do(req)
 	if err != nil {
-		return reply{}
+		return 0, ""
 	}
 	defer res.Body.Close()
+	var p wire.Phase
 	b, _ := io.ReadAll(res.Body)
-	return reply{res.StatusCode, b}
-}
-
-// ask sends a request to a controller and gives the answer's status.
-func (w *world) ask(ctx context.Context, c *http.Client, n int, method, path string, body []byte) int {
-	return w.fetch(ctx, c, n, method, path, body).status
+	json.Unmarshal(b, &p)
+	return res.StatusCode, p.Phase
 }
 
 // strangers has users ask about, and withdraw, jobs that nobody submitted.
 func (w *world) strangers(ctx context.Context) {
-	c := &http.Client{Transport: &http.Transport{DialContext: w.net.at("user").Dial, DisableKeepAlives: true}}
+	c := w.client()
 	for i := 0; ctx.Err() == nil; i++ {
 		ref := fmt.Sprintf("req-8%05d", i%7)
 		status := 0
 		if i%3 == 2 {
-			status = w.ask(ctx, c, w.intN(w.size), "POST", "/v1/jobs/"+ref+"/withdraw", nil)
+			status, _ = w.ask(ctx, c, w.intN(w.size), "POST", "/v1/jobs/"+ref+"/withdraw", nil)
 		} else {
-			status = w.ask(ctx, c, w.intN(w.size), "GET", "/v1/jobs/"+ref, nil)
+			status, _ = w.ask(ctx, c, w.intN(w.size), "GET", "/v1/jobs/"+ref, nil)
 		}
 		if status == http.StatusOK {
 			w.mu.Lock()
@@ -256,14 +253,14 @@
 // oddities has users send what can't be taken, repeat what was taken with bodies that
 // can't be, and withdraw what is done, until the time is up.
 func (w *world) oddities(ctx context.Context, long time.Duration) {
-	c := &http.Client{Transport: &http.Transport{DialContext: w.net.at("user").Dial, DisableKeepAlives: true}}
+	c := w.client()
 	end := time.Now().Add(long)
 	for i := 0; ctx.Err() == nil && time.Now().Before(end); i++ {
 		o := odd[i%len(odd)]
 		bad := func(ref string) []byte {
 			return bytes.Replace(soundBody(ref), []byte(o.old), []byte(o.new), 1)
 		}
-		status := w.ask(ctx, c, w.intN(w.size), "POST", "/v1/jobs", bad(fmt.Sprintf("req-7%05d", i)))
+		status, _ := w.ask(ctx, c, w.intN(w.size), "POST", "/v1/jobs", bad(fmt.Sprintf("req-7%05d", i)))
 		w.mu.Lock()
 		if status != o.status && status != 503 && status != 0 {
 			w.broke("accepted: %s was answered %d", o.name, status)
@@ -276,7 +273,7 @@
 		w.mu.Unlock()
 		if len(known) > 0 && o.old != "{" { // what is no object names no job
 			ref := known[w.intN(len(known))]
-			status = w.ask(ctx, c, w.intN(w.size), "POST", "/v1/jobs", bad(ref))
+			status, _ = w.ask(ctx, c, w.intN(w.size), "POST", "/v1/jobs", bad(ref))
 			w.mu.Lock()
 			if status != 200 && status != 503 && status != 0 {
 				w.broke("forgotten: %s submitted again with %s was answered %d", ref, o.name, status)
@@ -284,7 +281,7 @@
 			over := w.told[ref] == wire.Done
 			w.mu.Unlock()
 			if over {
-				if status := w.ask(ctx, c, w.intN(w.size), "POST", "/v1/jobs/"+ref+"/withdraw", nil); status != 200 && status != 503 && status != 0 {
+				if status, _ := w.ask(ctx, c, w.intN(w.size), "POST", "/v1/jobs/"+ref+"/withdraw", nil); status != 200 && status != 503 && status != 0 {
 					w.mu.Lock()
 					w.broke("forgotten: %s is done, and its withdrawal was answered %d", ref, status)
 					w.mu.Unlock()
--- a/internal/sim/meeting_test.go
+++ b/internal/sim/meeting_test.go
@@ -33,6 +33,13 @@
 	told   []string // what troubles came
 }
 
+func newMeeting(t *testing.T, ctx context.Context, w *world, st *store, cl *cloud, cs []*node) *meeting {
+	return &meeting{T: t, w: w, st: st, cl: cl, cs: cs, ctx: ctx, began: time.Now(), client: w.client()}
+}
+
+// leads is the controller that leads now; the first if none does.
+func (m *meeting) leads() int { return max(0, m.st.leads()) }
+
 func name(n int) string { return fmt.Sprintf("host-%d", n) }
 
 // alone cuts a controller off from the others.
@@ -76,7 +83,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, w, st, cl, cs, end := begin(t, seed, 40, 6, "")
-		m := &meeting{T: t, w: w, st: st, cl: cl, cs: cs, ctx: ctx, client: &http.Client{Transport: &http.Transport{DialContext: w.net.at("user").Dial, DisableKeepAlives: true}}}
+		m := newMeeting(t, ctx, w, st, cl, cs)
 		for i := range 8 {
 			j := wire.Job{Ref: ref(i), Class: "c", Owner: "ab"[i%2 : i%2+1], Shape: wire.Batch, Rank: "standard", Members: 2 + i%2, Cores: 1, RAM: 1, Bundle: "img", ExpectS: 200 + 5*float64(i)}
 			if i%4 == 3 {
@@ -180,7 +187,7 @@
 				time.Sleep(tc.then)
 				m.st.outage(true)
 				if tc.hang {
-					go m.strike(m.some(0.5), 2*cancel, func(k *worker, on bool) { k.hung = on })
+					go m.strike(m.some(0.5), 2*cancel, hang)
 				}
 				time.Sleep(2 * cancel)
 				m.w.mu.Lock()
@@ -261,6 +268,27 @@
 	}
 }
 
+// What strike does to machines.
+func mute(k *worker, on bool)   { k.mute, k.muted = on, time.Now() }
+func hang(k *worker, on bool)   { k.hung = on }
+func deafen(k *worker, on bool) { k.deaf = on }
+func keep(k *worker, on bool)   { k.keep = on }
+
+// deliver has the reports of machines that were held back arrive at whoever leads now, and
+// tells how many there were.
+func (m *meeting) deliver(hosts []string) (came int) {
+	n := m.leads()
+	for _, h := range hosts {
+		m.w.mu.Lock()
+		k := m.w.workers[h]
+		m.w.mu.Unlock()
+		if k != nil && k.late(m.ctx, n) {
+			came++
+		}
+	}
+	return came
+}
+
 // others are the other controllers.
 func (m *meeting) others(n int) (out []string) {
 	for o := range m.w.size {
@@ -284,7 +312,7 @@
 	}},
 	{"over and back", func(m *meeting, n int, long time.Duration) {
 		for end := time.Now().Add(long); time.Now().Before(end); {
-			l := max(0, m.st.leads())
+			l := m.leads()
 			m.st.refuseAlone(name(l), true)
 			time.Sleep(time.Duration(500+m.w.intN(9000)) * time.Millisecond)
 			m.st.refuseAlone(name(l), false)
@@ -307,10 +335,10 @@
 		m.w.echo(0)
 	}},
 	{"deaf machines", func(m *meeting, n int, long time.Duration) {
-		m.strike(m.some(0.5), long, func(k *worker, on bool) { k.deaf = on })
+		m.strike(m.some(0.5), long, deafen)
 	}},
 	{"mute machines", func(m *meeting, n int, long time.Duration) {
-		m.strike(m.some(0.5), long, func(k *worker, on bool) { k.mute, k.muted = on, time.Now() })
+		m.strike(m.some(0.5), long, mute)
 	}},
 	{"many withdrawn at once, and machines hang", func(m *meeting, n int, long time.Duration) {
 		m.w.mu.Lock()
@@ -323,7 +351,7 @@
 		m.w.mu.Unlock()
 		during(
 			func() {
-				m.strike(m.some(0.3), min(long, 2*lease), func(k *worker, on bool) { k.hung = on })
+				m.strike(m.some(0.3), min(long, 2*lease), hang)
 			},
 			func() { m.insist(n, 4*cancel, refs...) },
 		)
@@ -337,13 +365,9 @@
 	}},
 	{"reports held back", func(m *meeting, n int, long time.Duration) {
 		hosts := m.some(0.4)
-		m.strike(hosts, 7*time.Second, func(k *worker, on bool) { k.keep = on })
+		m.strike(hosts, 7*time.Second, keep)
 		time.Sleep(long)
-		m.strike(hosts, 0, func(k *worker, on bool) {
-			if on {
-				go k.late(m.ctx, max(0, m.st.leads()))
-			}
-		})
+		m.deliver(hosts)
 	}},
 	{"machines die", func(m *meeting, n int, long time.Duration) {
 		for _, h := range m.some(0.2) {
@@ -358,7 +382,7 @@
 		wg.Wait()
 	}},
 	{"machines hang", func(m *meeting, n int, long time.Duration) {
-		m.strike(m.some(0.5), long, func(k *worker, on bool) { k.hung = on })
+		m.strike(m.some(0.5), long, hang)
 	}},
 	{"cut from the state service", func(m *meeting, n int, long time.Duration) { m.apart([]string{name(n)}, []string{"state"}, long) }},
 	{"cut from peers", func(m *meeting, n int, long time.Duration) { m.apart([]string{name(n)}, m.others(n), long) }},
@@ -425,7 +449,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		rnd := rand.New(rand.NewPCG(seed, 12))
 		ctx, w, st, cl, cs, end := beginWith(t, seed, size, 60, 6, "")
-		m := &meeting{T: t, w: w, st: st, cl: cl, cs: cs, ctx: ctx, began: time.Now(), client: &http.Client{Transport: &http.Transport{DialContext: w.net.at("user").Dial, DisableKeepAlives: true}}}
+		m := newMeeting(t, ctx, w, st, cl, cs)
 		w.spread = 0.8
 		w.wg.Go(func() { w.strangers(ctx) })
 		for i := range jobs {
@@ -471,10 +495,10 @@
 		name   string
 		change func(m *meeting)
 	}{
-		{"it crashes", func(m *meeting) { m.end(max(0, m.st.leads()), 5*time.Second) }},
-		{"it is back at once", func(m *meeting) { m.end(max(0, m.st.leads()), 50*time.Millisecond) }},
+		{"it crashes", func(m *meeting) { m.end(m.leads(), 5*time.Second) }},
+		{"it is back at once", func(m *meeting) { m.end(m.leads(), 50*time.Millisecond) }},
 		{"it is refused alone", func(m *meeting) {
-			n := max(0, m.st.leads())
+			n := m.leads()
 			m.st.refuseAlone(name(n), true)
 			time.Sleep(15 * time.Second)
 			m.st.refuseAlone(name(n), false)
@@ -493,7 +517,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, w, st, cl, cs, end := begin(t, 3, 40, 6, "")
 				w.spread = 4
-				m := &meeting{T: t, w: w, st: st, cl: cl, cs: cs, ctx: ctx}
+				m := newMeeting(t, ctx, w, st, cl, cs)
 				for i := range 9 {
 					w.submit(ctx, wire.Job{Ref: ref(i), Class: "c", Owner: "ab"[i%2 : i%2+1], Shape: wire.Batch, Rank: "standard", Members: 2 + i%2, Cores: 1, RAM: 1, Bundle: "img", ExpectS: 8 + 1.7*float64(i)}, 0, 0)
 				}
@@ -546,7 +570,7 @@
 					go m.apart(m.others(m.leader), machines, 3*cancel)
 				}
 				if tc.deaf {
-					go m.strike(machines, lease/2, func(k *worker, on bool) { k.deaf = on })
+					go m.strike(machines, lease/2, deafen)
 				}
 				time.Sleep(tc.after)
 				for i := range 4 {
@@ -575,7 +599,7 @@
 func TestWithdrawalIsCopied(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, w, st, cl, cs, end := begin(t, 7, 40, 6, "")
-		m := &meeting{T: t, w: w, st: st, cl: cl, cs: cs, ctx: ctx, client: &http.Client{Transport: &http.Transport{DialContext: w.net.at("user").Dial, DisableKeepAlives: true}}}
+		m := newMeeting(t, ctx, w, st, cl, cs)
 		const jobs = 6
 		for i := range jobs {
 			w.submit(ctx, wire.Job{Ref: ref(i), Class: "c", Owner: "ab"[i%2 : i%2+1], Shape: wire.Standing, Rank: "production", Members: 2, Cores: 1, RAM: 1, Bundle: "img"}, 0, time.Hour)
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -1,7 +1,6 @@
 package sim
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -364,7 +363,7 @@
 
 // user submits a job, polls it, and may withdraw it.
 func (w *world) user(ctx context.Context, j wire.Job, withdraw time.Duration) {
-	client := &http.Client{Transport: &http.Transport{DialContext: w.net.at("user").Dial, DisableKeepAlives: true}}
+	client := w.client()
 	body, _ := json.Marshal(map[string]any{
 		"ref": j.Ref, "jobclass": j.Class, "owner": j.Owner, "shape": j.Shape, "rank": j.Rank, "members": j.Members, "cores": j.Cores,
 		"accelerators": 0, "ram_gb": j.RAM, "bundle": j.Bundle, "size_gb": 1, "same_place": j.SamePlace, "scatter": j.Scatter, "loaners": j.Loaners,
@@ -381,18 +380,7 @@
 		}
 	}
 	ask := func(method, path string, body []byte) (int, string) {
-		rctx, cancel := context.WithTimeout(ctx, 3*time.Second)
-		defer cancel()
-		req, _ := http.NewRequestWithContext(rctx, method, "http://"+front(w.intN(w.size))+path, bytes.NewReader(body))
-		res, err := client.Do(req)
-		if err != nil {
-			return 0, ""
-		}
-		defer res.Body.Close()
-		var p wire.Phase
-		b, _ := io.ReadAll(res.Body)
-		json.Unmarshal(b, &p)
-		return res.StatusCode, p.Phase
+		return w.ask(ctx, client, w.intN(w.size), method, path, body)
 	}
 	start := time.Now()
 	accepted := false
--- a/internal/sim/together_test.go
+++ b/internal/sim/together_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -52,8 +51,7 @@
 		p.most = 6
 	}
 	ctx, w, st, cl, cs, end := beginWith(t, p.seed+40, p.size, p.limit, p.most, p.operator)
-	m := &meeting{T: t, w: w, st: st, cl: cl, cs: cs, ctx: ctx, began: time.Now(),
-		client: &http.Client{Transport: &http.Transport{DialContext: w.net.at("user").Dial, DisableKeepAlives: true}}}
+	m := newMeeting(t, ctx, w, st, cl, cs)
 	w.wg.Go(func() { w.strangers(ctx) })
 	for _, j := range p.jobs {
 		w.submit(ctx, j, 0, 0)
@@ -353,21 +351,21 @@
 		keep   bool // everything runs on
 	}{
 		{"refused alone", func(m *meeting, i int) {
-			n := max(0, m.st.leads())
+			n := m.leads()
 			m.st.refuseAlone(name(n), true)
 			time.Sleep(9 * time.Second)
 			m.st.refuseAlone(name(n), false)
 		}, true},
-		{"crashed", func(m *meeting, i int) { m.end(max(0, m.st.leads()), 7*time.Second) }, true},
+		{"crashed", func(m *meeting, i int) { m.end(m.leads(), 7*time.Second) }, true},
 		{"crashed, some inside an outage", func(m *meeting, i int) {
-			n := max(0, m.st.leads())
+			n := m.leads()
 			if i%3 == 1 {
 				m.st.outage(true)
 			}
 			m.end(n, 5*time.Second)
 			m.st.outage(false)
 		}, true},
-		{"back at once", func(m *meeting, i int) { m.end(max(0, m.st.leads()), 100*time.Millisecond) }, true},
+		{"back at once", func(m *meeting, i int) { m.end(m.leads(), 100*time.Millisecond) }, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -595,10 +593,7 @@
 
 // phase asks a controller, and gives what it says of a job.
 func (m *meeting) phase(n int, method, path string, body []byte) (int, string) {
-	rec := m.w.fetch(m.ctx, m.client, n, method, path, body)
-	var p wire.Phase
-	json.Unmarshal(rec.body, &p)
-	return rec.status, p.Phase
+	return m.w.ask(m.ctx, m.client, n, method, path, body)
 }
 
 // A command or its answer is held up for seconds, or its machine hangs, and then goes on,
@@ -612,19 +607,19 @@
 	}{
 		{"held", func(m *meeting, hosts []string, long time.Duration) { m.apart(m.controllers(), hosts, long) }},
 		{"hung", func(m *meeting, hosts []string, long time.Duration) {
-			m.strike(hosts, long, func(k *worker, on bool) { k.hung = on })
+			m.strike(hosts, long, hang)
 		}},
 		{"deaf", func(m *meeting, hosts []string, long time.Duration) {
-			m.strike(hosts, long, func(k *worker, on bool) { k.deaf = on })
+			m.strike(hosts, long, deafen)
 		}},
 		{"mute", func(m *meeting, hosts []string, long time.Duration) {
-			m.strike(hosts, long, func(k *worker, on bool) { k.mute, k.muted = on, time.Now() })
+			m.strike(hosts, long, mute)
 		}},
 		{"held, and the leader ends", func(m *meeting, hosts []string, long time.Duration) {
 			during(func() { m.apart(m.controllers(), hosts, long) }, func() { time.Sleep(long / 2); m.end(m.leader, 4*time.Second) })
 		}},
 		{"hung, and the leader ends", func(m *meeting, hosts []string, long time.Duration) {
-			during(func() { m.strike(hosts, long, func(k *worker, on bool) { k.hung = on }) }, func() { time.Sleep(long / 2); m.end(m.leader, 4*time.Second) })
+			during(func() { m.strike(hosts, long, hang) }, func() { time.Sleep(long / 2); m.end(m.leader, 4*time.Second) })
 		}},
 	} {
 		for _, long := range []time.Duration{2 * time.Second, 6 * time.Second, lease - 2*time.Second, lease + 3*time.Second, 2 * cancel} {
@@ -713,7 +708,7 @@
 		{"all, new ones too", func(m *meeting) []string { return m.machines("") }, nil, 1, false},
 		{"half, while the leader changes", func(m *meeting) []string { return m.some(0.5) }, func(m *meeting) { m.end(m.leader, 8*time.Second) }, 3, true},
 		{"half, and they hang", func(m *meeting) []string { return m.some(0.5) }, func(m *meeting) {
-			m.strike(m.some(0.3), lease/2, func(k *worker, on bool) { k.hung = on })
+			m.strike(m.some(0.3), lease/2, hang)
 		}, 2, true},
 		{"half, and jobs are withdrawn", func(m *meeting) []string { return m.some(0.5) }, func(m *meeting) {
 			time.Sleep(2 * time.Second)
@@ -730,7 +725,7 @@
 						m.w.mu.Lock()
 						m.w.mute = !tc.done
 						m.w.mu.Unlock()
-						m.strike(tc.which(m), 4*lease, func(k *worker, on bool) { k.mute, k.muted = on, time.Now() })
+						m.strike(tc.which(m), 4*lease, mute)
 						m.w.mu.Lock()
 						m.w.mute = false
 						m.w.mu.Unlock()
@@ -793,13 +788,13 @@
 		}},
 		{"out of reach, for longer than a lease", 2 * lease, false, func(m *meeting, hosts []string, long time.Duration) { m.apart(hosts, m.controllers(), long) }},
 		{"they don't hear, for less than a lease", lease / 2, true, func(m *meeting, hosts []string, long time.Duration) {
-			m.strike(hosts, long, func(k *worker, on bool) { k.deaf = on })
+			m.strike(hosts, long, deafen)
 		}},
 		{"they don't hear, for longer than a lease", 2 * lease, false, func(m *meeting, hosts []string, long time.Duration) {
-			m.strike(hosts, long, func(k *worker, on bool) { k.deaf = on })
+			m.strike(hosts, long, deafen)
 		}},
 		{"they don't hear, for much longer", 5 * lease, false, func(m *meeting, hosts []string, long time.Duration) {
-			m.strike(hosts, long, func(k *worker, on bool) { k.deaf = on })
+			m.strike(hosts, long, deafen)
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -825,7 +820,7 @@
 				const jobs, members = 8, 3
 				together(t, plan{seed: 11, jobs: arrays(jobs, members, 100*time.Second, nil), troubles: func(m *meeting) {
 					for range 2 { // over and back
-						n := max(0, m.st.leads())
+						n := m.leads()
 						m.st.refuseAlone(name(n), true)
 						time.Sleep(6 * time.Second)
 						m.st.refuseAlone(name(n), false)
@@ -906,7 +901,7 @@
 			time.Sleep(3 * time.Second)
 		}},
 		{"two leaders later", func(m *meeting, hosts []string) {
-			m.end(max(0, m.st.leads()), 6*time.Second)
+			m.end(m.leads(), 6*time.Second)
 			time.Sleep(10 * time.Second)
 		}},
 	} {
@@ -915,30 +910,10 @@
 				t.Parallel()
 				together(t, plan{seed: 13, limit: 20, jobs: arrays(12, 3, long, nil), rest: 330 * time.Second, troubles: func(m *meeting) {
 					hosts := m.busy()
-					hold := func(on bool) {
-						for _, h := range hosts {
-							m.w.mu.Lock()
-							k := m.w.workers[h]
-							m.w.mu.Unlock()
-							k.mu.Lock()
-							k.keep = on
-							k.mu.Unlock()
-						}
-					}
-					hold(true)
-					time.Sleep(7 * time.Second) // held, and newer ones have come
-					hold(false)
+					m.strike(hosts, 7*time.Second, keep) // held, and newer ones have come
 					m.end(m.leader, 6*time.Second)
 					tc.then(m, hosts)
-					n, came := max(0, m.st.leads()), 0
-					for _, h := range hosts {
-						m.w.mu.Lock()
-						k := m.w.workers[h]
-						m.w.mu.Unlock()
-						if k.late(m.ctx, n) {
-							came++
-						}
-					}
+					came := m.deliver(hosts)
 					if came == 0 {
 						m.Error("no report was held back")
 					}
