--- /dev/null
+++ b/internal/sim/pollstorm_test.go
@@ -0,0 +1,93 @@
+package sim
+
+import (
+	"testing"
+	"time"
+
+	"rillflow/internal/wire"
+)
+
+const (
+	recoveryTime   = 60 * time.Second // after the last fault, by when one leader leads and stays
+	stormPollEvery = 600 * time.Millisecond
+)
+
+// limitStore has the store limit its rates, and every controller start anew knowing of it.
+func (m *scenario) limitStore(requests, writes float64) {
+	m.w.mu.Lock()
+	m.w.storeRPS, m.w.storeWriteRPS = requests, writes
+	m.w.mu.Unlock()
+	m.st.limitRates(requests, writes)
+	m.restartControllers(time.Second, 0, 1, 2)
+}
+
+// pollEvery has users ask again so often; 0: as usual.
+func (m *scenario) pollEvery(pause time.Duration) {
+	m.w.mu.Lock()
+	defer m.w.mu.Unlock()
+	m.w.pollEvery = pause
+}
+
+// chains are jobs in lines of three, each waiting for the one before it. The first runs on.
+func chains(first, lines int) (js []wire.Job) {
+	for line := range lines {
+		head := first + 3*line
+		for i := range 3 {
+			j := array(head+i, 1, 10*time.Second)
+			if i == 0 {
+				j.ExpectedSeconds = 3600
+			} else {
+				j.DependsOn = []string{ref(head + i - 1)}
+			}
+			js = append(js, j)
+		}
+	}
+	return js
+}
+
+// Guards against status reads that starve lease renewals and cancellations of dependents.
+func TestDependentsCancelledThroughPollStorm(t *testing.T) {
+	const services, lines, firstHead = 60, 24, 100
+	jobs := arrays(services, 1, 0, func(_ int, j *wire.Job) { j.Kind, j.Priority, j.CPUs = wire.KindService, "production", 0.25 })
+	playFaults(t, faultPlan{
+		seed: 778, most: 12, jobs: append(jobs, chains(firstHead, lines)...),
+		troubles: func(m *scenario) {
+			m.limitStore(60, 30)
+			time.Sleep(20 * time.Second)
+			m.pollEvery(stormPollEvery)
+			time.Sleep(5 * time.Second)
+			leader := m.leaderIndex()
+			concurrently(
+				func() { m.crashController(leader, 5*time.Second) },
+				func() { m.crashController((leader+1)%nodes, 5*time.Second) },
+				func() {
+					time.Sleep(10 * time.Second)
+					for line := range lines {
+						m.w.wg.Go(func() { m.cancelRepeatedly(line%nodes, 100*time.Second, ref(firstHead+3*line)) })
+						time.Sleep(time.Second)
+					}
+				},
+				func() {
+					time.Sleep(20 * time.Second)
+					m.st.outage(true)
+					time.Sleep(10 * time.Second)
+					m.st.outage(false)
+				},
+			)
+			time.Sleep(90 * time.Second)
+			m.pollEvery(0)
+		},
+		ends: func(m *scenario) {
+			if n := m.st.leaderChanges(m.w.calm.Add(recoveryTime)); n > 0 {
+				m.Errorf("%d leader changes later than %v after the last fault", n, recoveryTime)
+			}
+			for line := range lines {
+				if head := ref(firstHead + 3*line); m.w.gone[head].IsZero() {
+					m.Errorf("%s was never told cancelled", head)
+				}
+			}
+			m.Logf("%d leader changes in all, %d requests refused for their rate",
+				m.st.leaderChanges(m.began), m.st.rateLimited)
+		},
+	})
+}
--- a/internal/sim/store_test.go
+++ b/internal/sim/store_test.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"rillflow/internal/wire"
 )
 
@@ -41,6 +43,38 @@
 	// carried out and may have its answer lost.
 	asked, wrote map[int64]int
 	done         func(node string, t wire.Txn) (lost bool)
+	// Limits of the rates, with bursts of a second's worth; nil: none.
+	requestRate, writeRate *rate.Limiter
+	rateLimited            int // requests refused for them
+}
+
+// limitRates has the store refuse what is above so many requests and writes a second.
+func (s *store) limitRates(requests, writes float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requestRate = rate.NewLimiter(rate.Limit(requests), int(requests))
+	s.writeRate = rate.NewLimiter(rate.Limit(writes), int(writes))
+}
+
+// withinRate takes so many from a limit, if it allows them; run it with the lock held.
+func (s *store) withinRate(limit *rate.Limiter, n int) bool {
+	if limit == nil || limit.AllowN(time.Now(), n) {
+		return true
+	}
+	s.rateLimited++
+	return false
+}
+
+// leaderChanges is how often a controller took the leader's key since a time.
+func (s *store) leaderChanges(since time.Time) (changes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, c := range s.log {
+		if c.Put == "lead" && s.times[i].After(since) {
+			changes++
+		}
+	}
+	return changes
 }
 
 // peakRates is the most requests and changes in a second since a time.
@@ -188,11 +222,19 @@
 		return
 	}
 	s.asked[time.Now().Unix()]++
+	if !s.withinRate(s.requestRate, 1) {
+		answer(w, http.StatusTooManyRequests, wire.ErrorResponse{Error: "rate"})
+		return
+	}
 	q := r.URL.Query()
 	switch path := r.URL.Path; {
 	case path == "/commit":
 		var t wire.Txn
 		json.Unmarshal(body, &t)
+		if !s.withinRate(s.writeRate, len(t.Operations)) {
+			answer(w, http.StatusTooManyRequests, wire.ErrorResponse{Error: "rate"})
+			return
+		}
 		if s.late > 0 && s.rnd.Float64() < s.late {
 			s.applyLate(t, 2*time.Second+time.Duration(s.rnd.Int64N(int64(10*time.Second))))
 			if s.rnd.IntN(2) == 0 {
--- a/internal/sim/world_test.go
+++ b/internal/sim/world_test.go
@@ -53,7 +53,10 @@
 	late     []time.Duration      // starts after a confirmed withdrawal, how long after
 	operator string               // the operators' settings; "": none of their own
 	store    *store
-	breaches []string
+	// What the settings say of the store's rates; 0: plenty.
+	storeRPS, storeWriteRPS float64
+	pollEvery               time.Duration // in which a user asks again, at least half of it; 0: 4 s
+	breaches                []string
 }
 
 func (w *world) intN(n int) int {
@@ -245,6 +248,9 @@
 	if w.most >= 100 { // the limits of a larger deployment
 		s.Facts.Store.RPS, s.Facts.Store.WriteRPS, s.Facts.Cloud.RPS = 500, 80, 12
 	}
+	if w.storeRPS > 0 {
+		s.Facts.Store.RPS, s.Facts.Store.WriteRPS = w.storeRPS, w.storeWriteRPS
+	}
 	if w.upgraded[n] {
 		s.Facts.Store.Announced = &settings.AnnouncedStoreLimits{WriteRPS: 35, ValueKB: lowValue / 1024., TxnOps: lowOps}
 	}
