Store client: requests wait by priority, and status reads are shed

Cause: renewals of the leader's lease, the load of a term, the cancellation of dependents and every user's poll waited in one first-in-first-out budget with a deadline of half a heartbeat. Polls beyond the budget made every wait longer than the lease (a tenth of the workers' lease), so renewals were given up unsent, terms ended after two seconds, and no leader got through its load.

Change: a request has one of four priorities, given by the context that it is made with: coordination (leases, leader key, shard map, store incarnation), leader, user writes, status reads. Reads of one key that wait together share one request; one under way is never joined. Usage by priority is counted.

--- a/internal/election/term.go
+++ b/internal/election/term.go
@@ -110,6 +110,7 @@
 // RaiseEpoch moves the term to the next epoch, with the workers sharded among owners, so
 // that workers that see it refuse commands sent before.
 func (t *Term) RaiseEpoch(ctx context.Context, owners []string) error {
+	ctx = kvstore.WithPriority(ctx, kvstore.PriorityCoordination)
 	next, epochRevision := t.nextShardMap(owners)
 	record, err := json.Marshal(next)
 	if err != nil {
--- a/internal/intake/api.go
+++ b/internal/intake/api.go
@@ -101,7 +101,8 @@
 // kept waiting for what cannot be decided now. What got no answer, or came at a
 // busy moment, may well be decided within the time a user waits.
 func (api *API) shouldRetry(ctx context.Context, err error, attempt int) bool {
-	if errors.Is(err, kvstore.ErrRefused) && !errors.Is(err, kvstore.ErrRateLimited) || api.storeUnavailable() {
+	refused := errors.Is(err, kvstore.ErrRefused) && !errors.Is(err, kvstore.ErrRateLimited)
+	if refused || errors.Is(err, kvstore.ErrShed) || api.storeUnavailable() {
 		return false
 	}
 	return kvstore.Backoff(ctx, attempt, firstRetryDelay, longestRetryDelay)
--- a/internal/intake/status.go
+++ b/internal/intake/status.go
@@ -26,7 +26,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), pollTimeout)
+	ctx, cancel := context.WithTimeout(kvstore.WithPriority(r.Context(), kvstore.PriorityStatusRead), pollTimeout)
 	defer cancel()
 	job, err := api.lookup(ctx, id)
 	switch {
--- a/internal/kvstore/budget.go
+++ b/internal/kvstore/budget.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"fmt"
+	"errors"
 	"sync/atomic"
 	"time"
-
-	"golang.org/x/time/rate"
 )
 
 const (
@@ -15,6 +13,8 @@
 	// rejectionWindow is how soon after a write that the store refused for its rate another such
 	// refusal shows lower limits, in request timeouts.
 	rejectionWindow = 4
+	// statusReadWaits is how many of the longest waits of a status read make up the request timeout.
+	statusReadWaits = 4
 )
 
 // Limits are limits of the store. The rate is this process's share.
@@ -26,42 +26,58 @@
 // budget keeps this process to its share of the store's rates. Its limits only ever fall, once, to
 // the announced ones.
 type budget struct {
-	requests      *rate.Limiter
-	writes        *rate.Limiter
-	maxValueBytes int
-	announced     Limits
-	lowered       atomic.Bool
-	start         time.Time
-	lastRejection atomic.Int64 // nanoseconds from start of a write that was refused for its rate
-	window        time.Duration
+	requests         *priorityLimiter
+	writes           *priorityLimiter
+	longestReadWait  time.Duration // of a status read
+	maxValueBytes    int
+	announced        Limits
+	lowered          atomic.Bool
+	start            time.Time
+	lastRejection    atomic.Int64 // nanoseconds from start of a write that was refused for its rate
+	rejectionsWithin time.Duration
+	usage            [priorityCount]usageCounter
 }
 
 // newBudget returns a budget that has not been used yet.
 func newBudget(options Options) *budget {
-	requests, writes := options.RequestsPerSecond, options.WritesPerSecond
 	return &budget{
-		requests:      rate.NewLimiter(rate.Limit(requests), max(minBurst, int(requests/2))),
-		writes:        rate.NewLimiter(rate.Limit(writes), max(minBurst, int(writes))),
-		maxValueBytes: options.MaxValueBytes,
-		announced:     options.AnnouncedLimits,
-		start:         time.Now(),
-		window:        rejectionWindow * options.Timeout,
+		requests:         newPriorityLimiter(options.RequestsPerSecond, requestBurst(options.RequestsPerSecond)),
+		writes:           newPriorityLimiter(options.WritesPerSecond, writeBurst(options.WritesPerSecond)),
+		longestReadWait:  options.Timeout / statusReadWaits,
+		maxValueBytes:    options.MaxValueBytes,
+		announced:        options.AnnouncedLimits,
+		start:            time.Now(),
+		rejectionsWithin: rejectionWindow * options.Timeout,
 	}
 }
 
+func requestBurst(perSecond float64) int { return max(minBurst, int(perSecond/2)) }
+
+func writeBurst(perSecond float64) int { return max(minBurst, int(perSecond)) }
+
 // wait waits until a request with so many writes may be sent. A request that can't be sent before
-// ctx ends fails at once.
+// ctx ends fails at once, with ErrShed if it is of the lowest priority.
 func (b *budget) wait(ctx context.Context, writes int) error {
-	if err := b.requests.Wait(ctx); err != nil {
-		return fmt.Errorf("request budget: %w", err)
+	priority := priorityOf(ctx)
+	var longest time.Duration
+	if priority == PriorityStatusRead {
+		longest = b.longestReadWait
 	}
-	if writes == 0 {
-		return nil
+	began := time.Now()
+	err := b.requests.wait(ctx, priority, 1, longest)
+	if err == nil && writes > 0 {
+		err = b.writes.wait(ctx, priority, writes, longest)
 	}
-	if err := b.writes.WaitN(ctx, min(writes, b.writes.Burst())); err != nil {
-		return fmt.Errorf("write budget: %w", err)
+	b.usage[priority].noteWait(time.Since(began), err)
+	return err
+}
+
+// outcomeOf returns which outcome a request has that the budget did not allow.
+func outcomeOf(err error) error {
+	if errors.Is(err, errQueueFull) {
+		return ErrShed
 	}
-	return nil
+	return ErrRateLimited
 }
 
 // lowerLimits goes over to the announced limits for good: a refusal has shown that they are in
@@ -70,15 +86,16 @@
 	if b.announced.MaxValueBytes == 0 || b.lowered.Swap(true) {
 		return
 	}
-	b.writes.SetLimit(min(b.writes.Limit(), rate.Limit(b.announced.WritesPerSecond)))
-	b.writes.SetBurst(min(b.writes.Burst(), max(minBurst, int(b.announced.WritesPerSecond))))
+	perSecond, burst, _ := b.writes.limits()
+	lower := min(perSecond, b.announced.WritesPerSecond)
+	b.writes.setRate(lower, min(int(burst), writeBurst(lower)))
 }
 
 // noteWriteRejection notes that the store refused a write for its rate. One may be bad luck among
 // several controllers; a second soon after shows lower limits.
 func (b *budget) noteWriteRejection() {
 	now := int64(time.Since(b.start))
-	if last := b.lastRejection.Swap(now); last != 0 && now-last < int64(b.window) {
+	if last := b.lastRejection.Swap(now); last != 0 && now-last < int64(b.rejectionsWithin) {
 		b.lowerLimits()
 	}
 }
@@ -98,11 +115,10 @@
 // reserve, to single writes, which users and leadership wait for. If that is fewer than the
 // minimum, it returns how long until those can be sent.
 func (c *Client) BulkWriteAllowance(minimum int, reserve float64) (allowance int, wait time.Duration) {
-	writes := c.budget.writes
-	burst, available := float64(writes.Burst()), writes.Tokens()
+	perSecond, burst, available := c.budget.writes.limits()
 	reserve *= burst
 	if shortfall := min(float64(minimum)+reserve, burst) - available; shortfall > 0 {
-		return 0, time.Duration(shortfall / float64(writes.Limit()) * float64(time.Second))
+		return 0, time.Duration(shortfall / perSecond * float64(time.Second))
 	}
 	return max(minimum, int(available-reserve)), 0
 }
--- a/internal/kvstore/budget_test.go
+++ b/internal/kvstore/budget_test.go
@@ -37,7 +37,7 @@
 				c := New(Options{
 					Addr: "state:1", RequestsPerSecond: 100, Limits: Limits{WritesPerSecond: 8}, Timeout: time.Second,
 				})
-				c.budget.writes.AllowN(time.Now(), tc.spent)
+				c.budget.writes.bucket.AllowN(time.Now(), tc.spent)
 				allowance, wait := c.BulkWriteAllowance(3, tc.reserve)
 				if allowance != tc.allowance || wait != tc.wait {
 					t.Errorf("%d writes in %v, want %d in %v", allowance, wait, tc.allowance, tc.wait)
@@ -97,7 +97,7 @@
 			if tc.maxValueBytes == 2048 {
 				want = 500
 			}
-			if got := float64(c.budget.writes.Limit()); got != want {
+			if got := float64(c.budget.writes.bucket.Limit()); got != want {
 				t.Errorf("%v writes a second, want %v", got, want)
 			}
 		})
--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"rillflow/internal/jsonhttp"
 )
 
@@ -34,6 +36,7 @@
 	start        time.Time
 	lastAnswer   atomic.Int64 // nanoseconds from start, by the monotonic clock
 	requestCount atomic.Int64 // requests sent
+	sharedReads  singleflight.Group
 }
 
 // Options set up a client.
--- a/internal/kvstore/errors.go
+++ b/internal/kvstore/errors.go
@@ -19,6 +19,9 @@
 	// ErrRateLimited is a refusal for want of budget, here or at the store (429). The latter
 	// proves that the store is up.
 	ErrRateLimited = fmt.Errorf("rate limited: %w", ErrRefused)
+	// ErrShed is a refusal here because too many requests of more or the same worth wait. It
+	// is not to be tried again soon.
+	ErrShed = fmt.Errorf("shed: %w", ErrRateLimited)
 	// ErrTooLarge is a refusal of a value or transaction over the store's limits. It is not to be
 	// sent again as it was.
 	ErrTooLarge = fmt.Errorf("too large: %w", ErrRefused)
--- /dev/null
+++ b/internal/kvstore/prioritylimiter_test.go
@@ -0,0 +1,223 @@
+package kvstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// grantLog notes in which order requests are granted.
+type grantLog struct {
+	mu     sync.Mutex
+	grants []Priority
+}
+
+func (g *grantLog) add(priority Priority) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.grants = append(g.grants, priority)
+}
+
+// emptyLimiter has a token every 10 ms, and none now.
+func emptyLimiter() *priorityLimiter {
+	limiter := newPriorityLimiter(100, 1)
+	limiter.bucket.AllowN(time.Now(), 1)
+	return limiter
+}
+
+// waitInBackground has a request wait, and returns once it does.
+func (l *priorityLimiter) waitInBackground(ctx context.Context, log *grantLog, priority Priority) {
+	go func() {
+		if l.wait(ctx, priority, 1, 0) == nil {
+			log.add(priority)
+		}
+	}()
+	synctest.Wait()
+}
+
+func TestHigherPriorityIsGrantedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limiter, log := emptyLimiter(), &grantLog{}
+		arrivals := []Priority{PriorityStatusRead, PriorityUserWrite, PriorityLeader, PriorityStatusRead, PriorityCoordination}
+		for _, priority := range arrivals {
+			limiter.waitInBackground(t.Context(), log, priority)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if want := slices.Sorted(slices.Values(arrivals)); !slices.Equal(log.grants, want) {
+			t.Errorf("granted %v, want %v", log.grants, want)
+		}
+	})
+}
+
+func TestLowerPriorityDelaysByOneRequestAtMost(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		arrivals := rapid.SliceOfN(rapid.IntRange(0, priorityCount-1), 1, 120).Draw(rt, "priorities")
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 30), len(arrivals), len(arrivals)).Draw(rt, "pauses")
+		synctest.Test(t, func(t *testing.T) {
+			limiter, log := emptyLimiter(), &grantLog{}
+			var wg sync.WaitGroup
+			for i, arrival := range arrivals {
+				priority := Priority(arrival)
+				wg.Go(func() {
+					before := len(log.snapshot())
+					if err := limiter.wait(t.Context(), priority, 1, 0); err != nil {
+						rt.Errorf("%v: %v", priority, err)
+						return
+					}
+					lower, others := 0, 0
+					for _, granted := range log.snapshot()[before:] {
+						if granted > priority {
+							lower++
+						} else {
+							others++
+						}
+					}
+					if lower > 1+others/starvationInterval {
+						rt.Errorf("%v was passed by %d of lower and %d of no lower priority", priority, lower, others)
+					}
+					log.add(priority)
+				})
+				synctest.Wait()
+				time.Sleep(time.Duration(pauses[i]) * time.Millisecond)
+			}
+			wg.Wait()
+			if len(log.grants) != len(arrivals) {
+				rt.Errorf("%d of %d requests were granted", len(log.grants), len(arrivals))
+			}
+		})
+	})
+}
+
+func (g *grantLog) snapshot() []Priority {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.grants)
+}
+
+func TestLowestPriorityIsNotStarvedForever(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		limiter, log := emptyLimiter(), &grantLog{}
+		for priority := range Priority(priorityCount) {
+			for range 3 { // each asks again as soon as it was granted
+				go func() {
+					for limiter.wait(ctx, priority, 1, 0) == nil {
+						log.add(priority)
+					}
+				}()
+			}
+		}
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		granted := make(map[Priority]int)
+		for _, priority := range log.grants {
+			granted[priority]++
+		}
+		for _, priority := range []Priority{PriorityLeader, PriorityUserWrite, PriorityStatusRead} {
+			if granted[priority] < len(log.grants)/(4*starvationInterval) {
+				t.Errorf("%v got %d of %d grants", priority, granted[priority], len(log.grants))
+			}
+		}
+		if lower := len(log.grants) - granted[PriorityCoordination]; lower > len(log.grants)/starvationInterval+1 {
+			t.Errorf("lower priorities got %d of %d grants", lower, len(log.grants))
+		}
+	})
+}
+
+func TestWaitRefusesWhatCannotBeServedInTime(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		waiting  int
+		deadline time.Duration
+		longest  time.Duration
+		want     error
+	}{
+		{"in time", 4, time.Second, 0, nil},
+		{"the deadline comes first", 4, 30 * time.Millisecond, 0, errDeadlineTooClose},
+		{"the queue is longer than it waits for", 4, time.Second, 30 * time.Millisecond, errQueueFull},
+		{"the queue is as long as it waits for", 2, time.Second, 30 * time.Millisecond, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				limiter, log := emptyLimiter(), &grantLog{}
+				for range test.waiting {
+					limiter.waitInBackground(t.Context(), log, PriorityStatusRead)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), test.deadline)
+				defer cancel()
+				began := time.Now()
+				err := limiter.wait(ctx, PriorityStatusRead, 1, test.longest)
+				if !errors.Is(err, test.want) {
+					t.Errorf("got %v, want %v", err, test.want)
+				}
+				if waited := time.Since(began); test.want != nil && waited > 0 {
+					t.Errorf("refused after %v, not at once", waited)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+func TestCancelledWaitLeavesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limiter, log := emptyLimiter(), &grantLog{}
+		ctx, cancel := context.WithCancel(t.Context())
+		limiter.waitInBackground(ctx, log, PriorityLeader)
+		limiter.waitInBackground(t.Context(), log, PriorityStatusRead)
+		cancel()
+		time.Sleep(15 * time.Millisecond)
+		synctest.Wait()
+		if want := []Priority{PriorityStatusRead}; !slices.Equal(log.grants, want) {
+			t.Errorf("granted %v, want %v", log.grants, want)
+		}
+	})
+}
+
+func TestGrantsStayWithinTheRate(t *testing.T) {
+	for _, rates := range [][]float64{{100}, {50, 200, 50}, {200, 20}} {
+		t.Run(fmt.Sprint(rates), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				limiter, log := newPriorityLimiter(rates[0], 10), &grantLog{}
+				for range 8 {
+					go func() {
+						for limiter.wait(ctx, PriorityUserWrite, 2, 0) == nil {
+							log.add(PriorityUserWrite)
+						}
+					}()
+				}
+				allowed := 10.0
+				for _, perSecond := range rates {
+					limiter.setRate(perSecond, 10)
+					time.Sleep(2 * time.Second)
+					allowed += 2 * perSecond
+					if granted := float64(2 * len(log.snapshot())); granted > allowed || granted < 0.9*(allowed-10) {
+						t.Errorf("%v tokens after %v, allowed are %v", granted, rates, allowed)
+					}
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+func BenchmarkBudgetWait(b *testing.B) {
+	budget := newBudget(Options{RequestsPerSecond: 1e9, Limits: Limits{WritesPerSecond: 1e9}, Timeout: time.Second})
+	ctx := WithPriority(b.Context(), PriorityStatusRead)
+	for b.Loop() {
+		if err := budget.wait(ctx, 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/kvstore/requests.go
+++ b/internal/kvstore/requests.go
@@ -20,26 +20,20 @@
 	return item, err
 }
 
-// GetByListing reads a key as Get does, by a listing that begins with it. Unlike Get's, this
-// answer tells the store's revision also if the key is there, so a rollback shows.
-func (c *Client) GetByListing(ctx context.Context, key string) (wire.KeyValue, error) {
-	item, err := c.First(ctx, key)
-	if err == nil && item.Key != key {
-		err = &RequestError{Operation: "get", Key: key, Outcome: ErrNotFound}
-	}
-	return item, err
-}
-
 // First reads the first key under a prefix. The error is ErrNotFound if there is none.
 func (c *Client) First(ctx context.Context, prefix string) (wire.KeyValue, error) {
-	items, _, err := c.Page(ctx, prefix, "", 1)
+	return c.first(ctx, prefix, nil)
+}
+
+func (c *Client) first(ctx context.Context, prefix string, onSend func()) (wire.KeyValue, error) {
+	page, err := c.listPage(ctx, pageRequest{prefix: prefix, limit: 1, onSend: onSend})
 	if err != nil {
 		return wire.KeyValue{}, err
 	}
-	if len(items) == 0 {
+	if len(page.Items) == 0 {
 		return wire.KeyValue{}, &RequestError{Operation: "get first under", Key: prefix, Outcome: ErrNotFound}
 	}
-	return items[0], nil
+	return page.Items[0], nil
 }
 
 // List reads all keys under a prefix, in pages, and returns the revision of the first. The items
@@ -47,7 +41,9 @@
 func (c *Client) List(ctx context.Context, prefix string) (items []wire.KeyValue, revision uint64, err error) {
 	after := ""
 	for first := true; ; first = false {
-		page, err := c.listPage(ctx, prefix, after, listPageSize, c.timeout)
+		page, err := c.listPage(ctx, pageRequest{
+			prefix: prefix, after: after, limit: listPageSize, extraTime: c.timeout,
+		})
 		if err != nil {
 			return nil, 0, err
 		}
@@ -67,7 +63,7 @@
 func (c *Client) Page(
 	ctx context.Context, prefix, after string, limit int,
 ) (items []wire.KeyValue, next string, err error) {
-	page, err := c.listPage(ctx, prefix, after, limit, 0)
+	page, err := c.listPage(ctx, pageRequest{prefix: prefix, after: after, limit: limit})
 	if err != nil {
 		return nil, "", err
 	}
@@ -77,17 +73,23 @@
 	return page.Items, next, nil
 }
 
-// listPage asks for one page of a listing, which may take so much longer than the usual timeout.
-func (c *Client) listPage(
-	ctx context.Context, prefix, after string, limit int, extraTime time.Duration,
-) (page wire.RangeResponse, err error) {
-	query := url.Values{"under": {prefix}, "limit": {strconv.Itoa(limit)}}
-	if after != "" {
-		query.Set("after", after)
+// pageRequest asks for one page of a listing.
+type pageRequest struct {
+	prefix, after string
+	limit         int
+	extraTime     time.Duration // that it may take beyond the usual timeout
+	onSend        func()        // as of a call
+}
+
+// listPage asks for one page of a listing.
+func (c *Client) listPage(ctx context.Context, request pageRequest) (page wire.RangeResponse, err error) {
+	query := url.Values{"under": {request.prefix}, "limit": {strconv.Itoa(request.limit)}}
+	if request.after != "" {
+		query.Set("after", request.after)
 	}
 	err = c.do(ctx, call{
-		operation: "list", key: prefix,
-		method: http.MethodGet, path: "/store?" + query.Encode(), answer: &page, extraTime: extraTime,
+		operation: "list", key: request.prefix, method: http.MethodGet, path: "/store?" + query.Encode(),
+		answer: &page, extraTime: request.extraTime, onSend: request.onSend,
 	})
 	return page, err
 }
--- a/internal/kvstore/transport.go
+++ b/internal/kvstore/transport.go
@@ -26,6 +26,7 @@
 	answer    any           // to be decoded into; nil: the answer's body is ignored
 	writes    int           // operations that count against the write budget
 	extraTime time.Duration // that it may take beyond the usual timeout
+	onSend    func()        // called when the budget allowed it, before it is sent; nil: nothing is
 }
 
 // failed returns the error of a call.
@@ -39,7 +40,10 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+call.extraTime)
 	defer cancel()
 	if err := c.budget.wait(ctx, call.writes); err != nil {
-		return call.failed(ErrRateLimited, err)
+		return call.failed(outcomeOf(err), err)
+	}
+	if call.onSend != nil {
+		call.onSend()
 	}
 	request, err := jsonhttp.NewRequest(ctx, call.method, c.baseURL+call.path, call.body)
 	if err != nil {
@@ -54,9 +58,17 @@
 	case err != nil:
 		return call.failed(ErrOutcomeUnknown, err)
 	}
+	if isRejection(response.StatusCode) {
+		c.budget.usage[priorityOf(ctx)].rejected.Add(1)
+	}
 	return c.receive(&call, response, known)
 }
 
+// isRejection reports whether a status says that the store did not execute the request now.
+func isRejection(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // receive takes in the answer to a call, given what was known when it was sent.
 func (c *Client) receive(call *call, response *jsonhttp.Response, known position) error {
 	switch response.StatusCode {
--- a/internal/leader/runner.go
+++ b/internal/leader/runner.go
@@ -89,7 +89,7 @@
 
 // Serve leads for one term, and returns when it is over.
 func (r *Runner) Serve(ctx context.Context, leadership *election.Term) error {
-	group, groupCtx := errgroup.WithContext(ctx)
+	group, groupCtx := errgroup.WithContext(kvstore.WithPriority(ctx, kvstore.PriorityLeader))
 	term := newLeaderTerm(groupCtx, r.environment, leadership, leadership.FirstEpoch, group)
 	r.current.Store(term)
 	defer r.current.CompareAndSwap(term, nil)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -18,6 +18,7 @@
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"rillflow/internal/kvstore"
 	"rillflow/internal/settings"
 )
 
@@ -74,11 +75,12 @@
 	group.Go(func() error { <-ctx.Done(); return server.Close() })
 	group.Go(func() error { return controller.peers.Run(ctx, back) })
 	group.Go(func() error { return controller.types.Run(ctx) })
-	group.Go(func() error { return controller.dataLoss.Run(ctx, settings.WorkerLease()/2) })
-	group.Go(func() error { return controller.verifyUnknownEpochs(ctx) })
-	group.Go(func() error { return controller.elector.WatchShardMap(ctx) })
-	group.Go(func() error { return controller.elector.Run(ctx, controller.leader.Serve) })
-	group.Go(func() error { return controller.probeStore(ctx) })
+	coordination := kvstore.WithPriority(ctx, kvstore.PriorityCoordination)
+	group.Go(func() error { return controller.dataLoss.Run(coordination, settings.WorkerLease()/2) })
+	group.Go(func() error { return controller.verifyUnknownEpochs(coordination) })
+	group.Go(func() error { return controller.elector.WatchShardMap(coordination) })
+	group.Go(func() error { return controller.elector.Run(coordination, controller.leader.Serve) })
+	group.Go(func() error { return controller.probeStore(coordination) })
 	group.Go(func() error { return controller.authorizer.Run(ctx, settings.HeartbeatInterval()) })
 	if controller.keys != nil {
 		group.Go(func() error { return controller.keys.Follow(ctx, settings.WorkerLease(), log) })
