Store client: the controllers' request rates add up to what the store allows

What callers saw: under many polls one request in six was answered 429, the leader's and the election's among them, and each was sent again.

Cause: every controller had the leader's share, 2/(n+1) of 0.8 of the store's rate; three of them together asked for 1.2 times what it allows.

Change: a follower has 1/(n+1) of 0.9 of the rate and the controller that holds the leader's lease twice that, which adds up to 0.9 of it. The lease sees to it that no two have the leader's share; one that stepped down or whose lease may have lapsed has a follower's.

--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -44,6 +44,7 @@
 	epochs        knownEpochs
 	observed      leaderObservation
 	campaignAfter time.Time // not a candidate before this
+	term          *Term     // that is served, nil: none
 	endTerm       context.CancelCauseFunc
 	stopRenewal   context.CancelFunc
 }
@@ -105,7 +106,7 @@
 // suspected, or a successor was elected after this controller stepped down.
 func (e *Elector) serveTerm(ctx context.Context, term *Term, serve func(context.Context, *Term) error) {
 	termCtx, endTerm := context.WithCancelCause(ctx)
-	renewalCtx := e.beginTerm(termCtx, endTerm)
+	renewalCtx := e.beginTerm(termCtx, term, endTerm)
 	e.setLeader(e.controller)
 	e.log.Info("leadership acquired", "epoch", term.FirstEpoch)
 	served := make(chan struct{})
@@ -124,7 +125,7 @@
 	<-served
 	e.setLeader("")
 	e.mu.Lock()
-	e.endTerm, e.stopRenewal = nil, nil
+	e.term, e.endTerm, e.stopRenewal = nil, nil, nil
 	e.mu.Unlock()
 	e.log.Info("leadership ended", "epoch", term.FirstEpoch, "reason", context.Cause(termCtx))
 	if _, steppedDown := term.SteppedDown(); !steppedDown {
@@ -134,10 +135,10 @@
 
 // beginTerm lets StepDown and EndTermForDataLoss reach the term that begins. The context
 // returned ends when the lease is no longer to be renewed.
-func (e *Elector) beginTerm(termCtx context.Context, endTerm context.CancelCauseFunc) context.Context {
+func (e *Elector) beginTerm(termCtx context.Context, term *Term, endTerm context.CancelCauseFunc) context.Context {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.endTerm = endTerm
+	e.term, e.endTerm = term, endTerm
 	var renewalCtx context.Context
 	renewalCtx, e.stopRenewal = context.WithCancel(termCtx)
 	return renewalCtx
@@ -168,6 +169,14 @@
 	}
 }
 
+// LeaseHeld reports whether this controller leads and no other can at present.
+func (e *Elector) LeaseHeld() bool {
+	e.mu.Lock()
+	term := e.term
+	e.mu.Unlock()
+	return term != nil && term.LeaseHeld(time.Now())
+}
+
 // Leader returns the controller that leads, as far as this one knows, or "".
 func (e *Elector) Leader() string {
 	e.mu.Lock()
--- a/internal/kvstore/budget.go
+++ b/internal/kvstore/budget.go
@@ -23,11 +23,15 @@
 	MaxValueBytes   int
 }
 
-// budget keeps this process to its share of the store's rates. Its limits only ever fall, once, to
-// the announced ones.
+// budget keeps this process to its share of the store's rates. The limit of writes only ever falls,
+// once, to the announced one; that of requests follows whether this process leads.
 type budget struct {
 	requests         *priorityLimiter
 	writes           *priorityLimiter
+	followerRate     float64 // of requests
+	leaderRate       float64 // of requests, while holdsLease
+	holdsLease       func() bool
+	leading          atomic.Bool   // whether the leader's rate is in force
 	longestReadWait  time.Duration // of a status read
 	maxValueBytes    int
 	announced        Limits
@@ -43,6 +47,9 @@
 	return &budget{
 		requests:         newPriorityLimiter(options.RequestsPerSecond, requestBurst(options.RequestsPerSecond)),
 		writes:           newPriorityLimiter(options.WritesPerSecond, writeBurst(options.WritesPerSecond)),
+		followerRate:     options.RequestsPerSecond,
+		leaderRate:       options.LeaderRequestsPerSecond,
+		holdsLease:       options.HoldsLease,
 		longestReadWait:  options.Timeout / statusReadWaits,
 		maxValueBytes:    options.MaxValueBytes,
 		announced:        options.AnnouncedLimits,
@@ -58,6 +65,7 @@
 // wait waits until a request with so many writes may be sent. A request that can't be sent before
 // ctx ends fails at once, with ErrShed if it is of the lowest priority.
 func (b *budget) wait(ctx context.Context, writes int) error {
+	b.adjustRate()
 	priority := priorityOf(ctx)
 	var longest time.Duration
 	if priority == PriorityStatusRead {
@@ -72,6 +80,23 @@
 	return err
 }
 
+// adjustRate gives this process the share of requests that it has now. The lease sees to it that
+// no two have the leader's.
+func (b *budget) adjustRate() {
+	if b.holdsLease == nil {
+		return
+	}
+	leading := b.holdsLease()
+	if b.leading.Swap(leading) == leading {
+		return
+	}
+	perSecond := b.followerRate
+	if leading {
+		perSecond = b.leaderRate
+	}
+	b.requests.setRate(perSecond, requestBurst(perSecond))
+}
+
 // outcomeOf returns which outcome a request has that the budget did not allow.
 func outcomeOf(err error) error {
 	if errors.Is(err, errQueueFull) {
--- a/internal/kvstore/budget_test.go
+++ b/internal/kvstore/budget_test.go
@@ -103,3 +103,25 @@
 		})
 	}
 }
+
+// Guards against shares that add up to more than the store allows: only the lease gives the leader's.
+func TestRequestRateFollowsTheLease(t *testing.T) {
+	holdsLease := false
+	budget := newBudget(Options{
+		RequestsPerSecond: 20, LeaderRequestsPerSecond: 40, HoldsLease: func() bool { return holdsLease },
+		Limits: Limits{WritesPerSecond: 10}, Timeout: time.Second,
+	})
+	for _, test := range []struct {
+		holdsLease bool
+		rate       float64
+	}{{false, 20}, {true, 40}, {true, 40}, {false, 20}} {
+		holdsLease = test.holdsLease
+		if err := budget.wait(t.Context(), 0); err != nil {
+			t.Fatal(err)
+		}
+		perSecond, burst, _ := budget.requests.limits()
+		if perSecond != test.rate || burst != test.rate/2 {
+			t.Errorf("%v a second and bursts of %v while the lease is held: %v, want %v", perSecond, burst, test.holdsLease, test.rate)
+		}
+	}
+}
--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -43,6 +43,10 @@
 type Options struct {
 	Addr              string
 	RequestsPerSecond float64 // this process's share
+	// LeaderRequestsPerSecond is its share while HoldsLease reports that no other process leads.
+	// No role is told apart if HoldsLease is nil.
+	LeaderRequestsPerSecond float64
+	HoldsLease              func() bool
 	// Limits are those in force as far as is known.
 	Limits
 	// AnnouncedLimits are those that the store may fall to without further notice. None are
--- a/internal/serve/controller.go
+++ b/internal/serve/controller.go
@@ -31,6 +31,10 @@
 	// usableShare of a limit of the platform is what a controller uses at a time: nearly
 	// all, for any controller may lead.
 	usableShare = 0.8
+	// requestShare of the store's request rate is what all controllers use together.
+	requestShare = 0.9
+	// leaderWeight is the leader's part of it, as a multiple of a follower's.
+	leaderWeight = 2
 	// idleWorkerConnections is how many connections to workers are kept open unused, as a
 	// ratio to the sockets: the front has most of those.
 	idleWorkerConnections = 0.1
@@ -97,13 +101,13 @@
 // connectPlatform makes the clients of the store and the cloud, and what keeps their data.
 func (controller *controller) connectPlatform() {
 	set, limits := controller.settings, controller.settings.Facts
-	controllers := float64(1 + len(set.Peers))
+	followerRate := limits.Store.RPS * requestShare / float64(leaderWeight+len(set.Peers))
 	controller.store = kvstore.New(kvstore.Options{
 		Addr: set.Services.Store,
-		// Any controller may lead and then needs most of the budget; the rest is shared.
-		// Spent in full by all, this stays at what the store allows.
-		RequestsPerSecond: limits.Store.RPS * usableShare * 2 / (controllers + 1),
-		Limits:            storeLimits(limits.Store), AnnouncedLimits: storeLimits(limits.Store.Lowest()),
+		// The leader and the followers together stay within what the store allows.
+		RequestsPerSecond: followerRate, LeaderRequestsPerSecond: leaderWeight * followerRate,
+		HoldsLease: func() bool { return controller.elector.LeaseHeld() },
+		Limits:     storeLimits(limits.Store), AnnouncedLimits: storeLimits(limits.Store.Lowest()),
 		Timeout: set.HeartbeatInterval() / 2, Dial: controller.network.Dial,
 	})
 	cloudRate := limits.Cloud.RPS * usableShare
--- a/internal/sim/pollstorm_test.go
+++ b/internal/sim/pollstorm_test.go
@@ -86,8 +86,10 @@
 					m.Errorf("%s was never told cancelled", head)
 				}
 			}
-			m.Logf("%d leader changes in all, %d requests refused for their rate",
-				m.st.leaderChanges(m.began), m.st.rateLimited)
+			if n := m.st.requestsRefused; n > 0 {
+				m.Errorf("%d requests were refused for their rate: the controllers' shares are too large", n)
+			}
+			m.Logf("%d leader changes in all", m.st.leaderChanges(m.began))
 		},
 	})
 }
--- a/internal/sim/store_test.go
+++ b/internal/sim/store_test.go
@@ -45,7 +45,7 @@
 	done         func(node string, t wire.Txn) (lost bool)
 	// Limits of the rates, with bursts of a second's worth; nil: none.
 	requestRate, writeRate *rate.Limiter
-	rateLimited            int // requests refused for them
+	requestsRefused        int // for their rate
 }
 
 // limitRates has the store refuse what is above so many requests and writes a second.
@@ -61,7 +61,6 @@
 	if limit == nil || limit.AllowN(time.Now(), n) {
 		return true
 	}
-	s.rateLimited++
 	return false
 }
 
@@ -223,6 +222,7 @@
 	}
 	s.asked[time.Now().Unix()]++
 	if !s.withinRate(s.requestRate, 1) {
+		s.requestsRefused++
 		answer(w, http.StatusTooManyRequests, wire.ErrorResponse{Error: "rate"})
 		return
 	}
