--- a/internal/leader/cancellations.go
+++ b/internal/leader/cancellations.go
@@ -106,7 +106,7 @@
 		}
 	}
 	notify(c.writeSignal)
-	notify(c.dependencySignal)
+	c.dependenciesChanged()
 }
 
 // cancelledJobs returns the cancelled jobs of which there are claims left. Just after a new
--- a/internal/leader/jobwatcher.go
+++ b/internal/leader/jobwatcher.go
@@ -43,7 +43,7 @@
 		}
 		w.replica.Apply(events.Revision, append(changes, endings...)...)
 		notify(w.scheduleSignal)
-		notify(w.dependencySignal)
+		w.dependenciesChanged()
 	}
 	return ctx.Err()
 }
--- a/internal/leader/runner.go
+++ b/internal/leader/runner.go
@@ -108,12 +108,13 @@
 	}
 	term.startLoops(
 		func(ctx context.Context) error { return term.jobWatcher.watchJobs(ctx, revision) },
-		term.claimWriter.runClaimWriter, term.scheduler.runScheduler, term.dependencies.runDependencies,
+		term.claimWriter.runClaimWriter, term.scheduler.runScheduler,
+		term.dependencies.runLookUps, term.propagator.runPropagation,
 		term.autoscaler.runAutoscaler, term.failures.runReleases, term.collector.watchPendingAudit,
 		term.recovery.finishRecovery, term.scrubber.runAntiEntropy, term.orphans.resolveOrphans,
 	)
 	notify(term.scheduleSignal)
-	notify(term.dependencySignal)
+	term.dependenciesChanged()
 	return group.Wait()
 }
 
--- a/internal/leader/scope.go
+++ b/internal/leader/scope.go
@@ -43,18 +43,20 @@
 // signals wake the loops of a term. Each holds at most one notification, so that notifying
 // never blocks and a loop that is busy runs once more.
 type signals struct {
-	writeSignal      chan struct{} // the job table has changes to write
-	scheduleSignal   chan struct{} // capacity or tasks may be free to place
-	dependencySignal chan struct{} // a dependency may be resolved
-	epochSignal      chan struct{} // a higher epoch is needed
+	writeSignal       chan struct{} // the job table has changes to write
+	scheduleSignal    chan struct{} // capacity or tasks may be free to place
+	dependencySignal  chan struct{} // a dependency may be resolved
+	propagationSignal chan struct{} // a dependent may be to be cancelled
+	epochSignal       chan struct{} // a higher epoch is needed
 }
 
 func newSignals() signals {
 	return signals{
-		writeSignal:      make(chan struct{}, 1),
-		scheduleSignal:   make(chan struct{}, 1),
-		dependencySignal: make(chan struct{}, 1),
-		epochSignal:      make(chan struct{}, 1),
+		writeSignal:       make(chan struct{}, 1),
+		scheduleSignal:    make(chan struct{}, 1),
+		dependencySignal:  make(chan struct{}, 1),
+		propagationSignal: make(chan struct{}, 1),
+		epochSignal:       make(chan struct{}, 1),
 	}
 }
 
@@ -95,6 +97,33 @@
 	auditLog   *auditWriter    // nil: no audit log is kept
 }
 
+// roundsPerHeartbeat is how often within a heartbeat interval a repeated round runs at least.
+const roundsPerHeartbeat = 6
+
+// repeat runs a round of a loop whenever its signal comes, and at intervals without one, until ctx
+// ends or a round fails.
+func (s *termScope) repeat(ctx context.Context, signal <-chan struct{}, round func() error) error {
+	ticker := time.NewTicker(s.settings.HeartbeatInterval() / roundsPerHeartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		case <-signal:
+		}
+		if err := round(); err != nil {
+			return err
+		}
+	}
+}
+
+// dependenciesChanged wakes the loops that look after jobs that wait for others.
+func (s *termScope) dependenciesChanged() {
+	notify(s.dependencySignal)
+	notify(s.propagationSignal)
+}
+
 // freeClaim frees a claim on proof that its task is gone. Callers hold mu.
 func (s *termScope) freeClaim(claim *ledger.Claim, reason string) {
 	s.log.Debug("claim freed", "task", claim.Task(), "worker", claim.Worker, "reason", reason)
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -59,6 +59,7 @@
 	collector     *auditCollector      // takes in audit entries that other controllers leave
 	cancellations *cancellations       // cancelled jobs
 	dependencies  *dependencies        // jobs that wait for others
+	propagator    *propagator          // cancels the dependents of cancelled jobs
 	storeReader   *storeReader         // reads until the store answers
 	loader        *loader              // fills the cluster state at the start
 	recovery      *dataRecovery        // writes back lost data
@@ -94,6 +95,7 @@
 		collector:     &auditCollector{termScope: scope},
 		cancellations: &cancellations{termScope: scope},
 		dependencies:  &dependencies{termScope: scope},
+		propagator:    &propagator{termScope: scope},
 		storeReader:   &storeReader{termScope: scope},
 		loader:        &loader{termScope: scope},
 		recovery:      &dataRecovery{termScope: scope},
@@ -165,7 +167,7 @@
 
 	t.cancellations.autoscaler = t.autoscaler
 
-	t.dependencies.cancellations = t.cancellations
+	t.propagator.cancellations = t.cancellations
 
 	t.loader.recovery, t.loader.registry, t.loader.storeReader = t.recovery, t.registry, t.storeReader
 
