Metrics and debug lines for what the incident's logs could not tell

Cause: from the records nobody could say who led under which epoch at the break, which requests to the store waited or were refused, or why a worker or user was answered as it was.

Change: GET /operator/metrics, under the rights of the status page, in the Prometheus text format: requests to the store by priority (sent, time waited, shed, rejected), the store's silence, whether this controller holds the leader's lease, terms begun, epoch, and the age of the oldest cancellation that has not reached all dependents. Past half of cancel_s the leader logs "dependent not cancelled yet".

--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -45,6 +45,7 @@
 	observed      leaderObservation
 	campaignAfter time.Time // not a candidate before this
 	term          *Term     // that is served, nil: none
+	termsBegun    int
 	endTerm       context.CancelCauseFunc
 	stopRenewal   context.CancelFunc
 }
@@ -139,6 +140,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.term, e.endTerm = term, endTerm
+	e.termsBegun++
 	var renewalCtx context.Context
 	renewalCtx, e.stopRenewal = context.WithCancel(termCtx)
 	return renewalCtx
@@ -177,6 +179,13 @@
 	return term != nil && term.LeaseHeld(time.Now())
 }
 
+// TermsBegun returns how many terms this controller has begun to lead.
+func (e *Elector) TermsBegun() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.termsBegun
+}
+
 // Leader returns the controller that leads, as far as this one knows, or "".
 func (e *Elector) Leader() string {
 	e.mu.Lock()
--- a/internal/intake/reply.go
+++ b/internal/intake/reply.go
@@ -85,6 +85,7 @@
 		job.cancellationAcknowledged = true
 		api.finished.put(job.ID, job)
 	}
+	api.log.Debug("status answered", "job", job.ID, "phase", job.Phase)
 	reply(w, http.StatusOK, job.JobStatus)
 }
 
--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,7 @@
 	lastAnswer   atomic.Int64 // nanoseconds from start, by the monotonic clock
 	requestCount atomic.Int64 // requests sent
 	sharedReads  singleflight.Group
+	log          *slog.Logger
 }
 
 // Options set up a client.
@@ -54,10 +56,14 @@
 	AnnouncedLimits Limits
 	Timeout         time.Duration
 	Dial            func(ctx context.Context, network, addr string) (net.Conn, error)
+	Log             *slog.Logger // nil: nothing is logged
 }
 
 // New returns a client that has not sent anything yet.
 func New(options Options) *Client {
+	if options.Log == nil {
+		options.Log = slog.New(slog.DiscardHandler)
+	}
 	return &Client{
 		baseURL: "http://" + options.Addr,
 		http: jsonhttp.New(jsonhttp.Options{
@@ -70,6 +76,7 @@
 		budget:   newBudget(options),
 		start:    time.Now(),
 		revision: revisionFloor{incarnationEnded: make(chan struct{})},
+		log:      options.Log,
 	}
 }
 
--- a/internal/kvstore/priority.go
+++ b/internal/kvstore/priority.go
@@ -30,6 +30,11 @@
 // String names the priority as logs and metrics do.
 func (p Priority) String() string { return priorityNames[p] }
 
+// Priorities are all priorities, from the highest to the lowest.
+func Priorities() []Priority {
+	return []Priority{PriorityCoordination, PriorityLeader, PriorityUserWrite, PriorityStatusRead}
+}
+
 type priorityKey struct{}
 
 // WithPriority returns a context whose requests to the store have the priority.
--- a/internal/kvstore/prioritylimiter_test.go
+++ b/internal/kvstore/prioritylimiter_test.go
@@ -122,7 +122,7 @@
 		for _, priority := range log.grants {
 			granted[priority]++
 		}
-		for _, priority := range []Priority{PriorityLeader, PriorityUserWrite, PriorityStatusRead} {
+		for _, priority := range Priorities()[1:] {
 			if granted[priority] < len(log.grants)/(4*starvationInterval) {
 				t.Errorf("%v got %d of %d grants", priority, granted[priority], len(log.grants))
 			}
--- a/internal/kvstore/transport.go
+++ b/internal/kvstore/transport.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -39,9 +40,23 @@
 func (c *Client) do(ctx context.Context, call call) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+call.extraTime)
 	defer cancel()
-	if err := c.budget.wait(ctx, call.writes); err != nil {
-		return call.failed(outcomeOf(err), err)
+	began := time.Now()
+	err := c.budget.wait(ctx, call.writes)
+	waited := time.Since(began)
+	if err != nil {
+		err = call.failed(outcomeOf(err), err)
+	} else {
+		err = c.send(ctx, call)
+	}
+	if c.log.Enabled(ctx, slog.LevelDebug) {
+		c.log.Debug("store request", "operation", call.operation, "key", call.key, "priority", priorityOf(ctx),
+			"waited_ms", waited.Milliseconds(), "took_ms", time.Since(began).Milliseconds(), "err", err)
 	}
+	return err
+}
+
+// send sends a request that the budget allows.
+func (c *Client) send(ctx context.Context, call call) error {
 	if call.onSend != nil {
 		call.onSend()
 	}
--- a/internal/leader/commander.go
+++ b/internal/leader/commander.go
@@ -85,11 +85,9 @@
 	if !worker.CommandInFlight {
 		return nil, true
 	}
-	return &directCommand{
-		address:     worker.Address,
-		batch:       wire.CommandBatch{Epoch: epoch, Incarnation: worker.Incarnation, Commands: commands},
-		heardBefore: worker.LastHeartbeat,
-	}, true
+	batch := wire.CommandBatch{Epoch: epoch, Incarnation: worker.Incarnation, Commands: commands}
+	c.logCommands(worker, batch)
+	return &directCommand{address: worker.Address, batch: batch, heardBefore: worker.LastHeartbeat}, true
 }
 
 // commandAnswered takes in the answer to a direct command, and tells whether no heartbeat of
--- /dev/null
+++ b/internal/leader/commandlog.go
@@ -0,0 +1,37 @@
+package leader
+
+import (
+	"log/slog"
+
+	"rillflow/internal/agent"
+	"rillflow/internal/ledger"
+	"rillflow/internal/wire"
+)
+
+// logCommands logs what a worker is told and why it may be. Callers hold mu.
+func (s *termScope) logCommands(worker *agent.Worker, batch wire.CommandBatch) {
+	if len(batch.Commands) == 0 || !s.log.Enabled(s.ctx, slog.LevelDebug) {
+		return
+	}
+	claims := s.jobs.ClaimsOnWorker(worker.Name)
+	for _, command := range batch.Commands {
+		task, _ := ledger.ParseTask(command.Task)
+		s.log.Debug("command given", "action", command.Action, "task", command.Task, "attempt", command.Attempt,
+			"worker", worker.Name, "epoch", batch.Epoch, "reason", commandReason(command, claims[task]))
+	}
+}
+
+// commandReason says why a command is given for a task with a claim; nil: no claim is for it.
+func commandReason(command wire.Command, claim *ledger.Claim) string {
+	switch {
+	case claim == nil || claim.Attempt != command.Attempt:
+		return "no claim"
+	case command.Action == wire.ActionStart:
+		return "claim committed"
+	case claim.Job.Cancelled:
+		return "job cancelled"
+	case claim.Stopping:
+		return "claim to be freed"
+	}
+	return "task ended"
+}
--- a/internal/leader/dependencies.go
+++ b/internal/leader/dependencies.go
@@ -11,6 +11,7 @@
 
 	"rillflow/internal/kvstore"
 	"rillflow/internal/ledger"
+	"rillflow/internal/settings"
 	"rillflow/internal/wire"
 )
 
@@ -23,7 +24,9 @@
 type dependencies struct {
 	*termScope
 
-	lastLookUp string // the dependency that was looked up last; only the loop uses it
+	// Only the loop uses what follows.
+	lastLookUp  string // the dependency that was looked up last
+	lastOverdue string // the job that was last logged as overdue
 }
 
 // maxConcurrentLookups bounds the reads of end records in flight at once.
@@ -33,11 +36,27 @@
 // store has, so that a new leader goes on where the last one stopped.
 func (d *dependencies) runLookUps(ctx context.Context) error {
 	return d.repeat(ctx, d.dependencySignal, func() error {
+		d.warnOverdueCancellation()
 		d.lookUpEndings(ctx)
 		return nil
 	})
 }
 
+// warnOverdueCancellation logs, once a job, that a dependent of a cancelled job is still to be
+// cancelled though half of the time for it is over.
+func (d *dependencies) warnOverdueCancellation() {
+	d.mu.Lock()
+	pending, ok := d.jobs.OldestPendingCancellation()
+	d.mu.Unlock()
+	age := d.now().Sub(pending.Since)
+	deadline := settings.Seconds(d.settings.Facts.Workers.CancelSeconds)
+	if !ok || age < deadline/2 || pending.Job == d.lastOverdue {
+		return
+	}
+	d.lastOverdue = pending.Job
+	d.log.Warn("dependent not cancelled yet", "job", pending.Job, "cause", pending.Cause, "age_s", age.Seconds())
+}
+
 // lookUpEndings finds out how dependencies ended that the table does not know. A round that the
 // store refuses is left, and the next one goes on with the dependency after.
 func (d *dependencies) lookUpEndings(ctx context.Context) {
--- a/internal/leader/heartbeats.go
+++ b/internal/leader/heartbeats.go
@@ -59,6 +59,7 @@
 		if !h.dataLossSuspected() {
 			due := worker.Commands(h.jobs.ClaimsOnWorker(worker.Name), epoch, true)
 			commands.Commands = append(commands.Commands, due...)
+			h.logCommands(worker, commands)
 			h.requestFencing(worker)
 		}
 	}
--- a/internal/leader/propagator.go
+++ b/internal/leader/propagator.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"rillflow/internal/audit"
 	"rillflow/internal/kvstore"
@@ -28,6 +29,21 @@
 	return p.repeat(ctx, p.propagationSignal, func() error { return p.propagateCancellations(ctx) })
 }
 
+// OldestPendingCancellation is the age of the oldest cancellation that has not reached all
+// dependents; 0 if there is none, or this controller does not lead.
+func (r *Runner) OldestPendingCancellation() time.Duration {
+	term := r.current.Load()
+	if term == nil {
+		return 0
+	}
+	term.mu.Lock()
+	defer term.mu.Unlock()
+	if pending, ok := term.jobs.OldestPendingCancellation(); ok {
+		return max(0, term.now().Sub(pending.Since))
+	}
+	return 0
+}
+
 // propagateCancellations cancels the dependents of cancelled jobs, a few in each transaction.
 // None of them has ever had a claim, for none was ready.
 func (p *propagator) propagateCancellations(ctx context.Context) error {
--- a/internal/ledger/dependencies.go
+++ b/internal/ledger/dependencies.go
@@ -63,7 +63,7 @@
 	g.resetInherited(job)
 	for ref := range job.unmetDependencies {
 		if dependency := g.jobs[ref]; dependency != nil && dependency.cancelledUpstream != "" {
-			g.cancelDownstream(job, dependency.cancelledUpstream)
+			g.cancelDownstream(job, dependency.cancelledUpstream, dependency.cancelPendingFrom)
 		}
 	}
 }
@@ -87,23 +87,23 @@
 
 // markCancelled notes that a job is durably cancelled: all that depend on it are to be
 // cancelled too.
-func (g *dependencyGraph) markCancelled(ref string) {
+func (g *dependencyGraph) markCancelled(ref string, at time.Time) {
 	for _, job := range g.dependents[ref] {
-		g.cancelDownstream(job, ref)
+		g.cancelDownstream(job, ref, at)
 	}
 	delete(g.dependents, ref)
 }
 
 // cancelDownstream marks a job, and all that depend on it through however many others, as to
-// be cancelled because of a cancelled job.
-func (g *dependencyGraph) cancelDownstream(job *Job, cancelled string) {
+// be cancelled because of a job that was cancelled at a time.
+func (g *dependencyGraph) cancelDownstream(job *Job, cancelled string, at time.Time) {
 	for pending := []*Job{job}; len(pending) > 0; {
 		job = pending[len(pending)-1]
 		pending = pending[:len(pending)-1]
 		if job.cancelledUpstream != "" || job.Cancelled {
 			continue
 		}
-		job.cancelledUpstream = cancelled
+		job.cancelledUpstream, job.cancelPendingFrom = cancelled, laterOf(at, job.ArrivedAt)
 		g.toCancel = append(g.toCancel, job)
 		pending = append(pending, g.dependents[job.ID]...)
 	}
@@ -121,7 +121,14 @@
 		}
 	}
 	job.unmetDependencies = nil
-	g.markCancelled(job.ID)
+	g.markCancelled(job.ID, job.CancelledAt)
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // resetInherited has the inherited priority of all that a job depends on, through however many
@@ -162,10 +169,29 @@
 	if done {
 		return t.dependencies.markDone(ref, at)
 	}
-	t.dependencies.markCancelled(ref)
+	t.dependencies.markCancelled(ref, at)
 	return nil
 }
 
+// PendingCancellation is a job that is to be cancelled because of a cancelled one.
+type PendingCancellation struct {
+	Job   string
+	Cause string    // the cancelled job that it depends on
+	Since time.Time // the cause was cancelled or, if that was later, the job came
+}
+
+// OldestPendingCancellation returns the job that waits longest to be cancelled because of another,
+// if there is one.
+func (t *Table) OldestPendingCancellation() (oldest PendingCancellation, ok bool) {
+	for _, job := range t.dependencies.toCancel {
+		if !job.Cancelled && (!ok || job.cancelPendingFrom.Before(oldest.Since)) {
+			oldest = PendingCancellation{Job: job.ID, Cause: job.cancelledUpstream, Since: job.cancelPendingFrom}
+			ok = true
+		}
+	}
+	return oldest, ok
+}
+
 // JobsToCancel are up to limit jobs that are to be cancelled because one that they depend on
 // was, in the order in which that was found.
 func (t *Table) JobsToCancel(limit int) []*Job {
--- a/internal/ledger/dependencies_test.go
+++ b/internal/ledger/dependencies_test.go
@@ -233,3 +233,25 @@
 	slices.Sort(refs)
 	return refs[rnd.IntN(len(refs))]
 }
+
+func TestOldestPendingCancellation(t *testing.T) {
+	table := newDependencyTable("1", "2 1", "3", "4 3")
+	if pending, ok := table.OldestPendingCancellation(); ok {
+		t.Errorf("%+v with nothing cancelled", pending)
+	}
+	for i, ref := range []string{"req-3", "req-1"} {
+		table.Job(ref).CancelledAt = now.Add(time.Duration(i) * time.Minute)
+		table.Cancel(ref)
+	}
+	for _, want := range []PendingCancellation{
+		{Job: "req-4", Cause: "req-3", Since: now}, {Job: "req-2", Cause: "req-1", Since: now.Add(time.Minute)},
+	} {
+		if pending, ok := table.OldestPendingCancellation(); !ok || pending != want {
+			t.Errorf("got %+v, want %+v", pending, want)
+		}
+		table.Cancel(want.Job)
+	}
+	if pending, ok := table.OldestPendingCancellation(); ok {
+		t.Errorf("%+v with all propagated", pending)
+	}
+}
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -64,6 +64,7 @@
 	alreadyDone       bool            // read as done; only its chunks are left
 	unmetDependencies map[string]bool // jobs not known to be done
 	cancelledUpstream string          // a job that it depends on, if that was cancelled
+	cancelPendingFrom time.Time       // since when it is to be cancelled for that
 }
 
 // Mean is a sum with the number of its terms.
--- a/internal/serve/controller.go
+++ b/internal/serve/controller.go
@@ -101,14 +101,14 @@
 // connectPlatform makes the clients of the store and the cloud, and what keeps their data.
 func (controller *controller) connectPlatform() {
 	set, limits := controller.settings, controller.settings.Facts
-	followerRate := limits.Store.RPS * requestShare / float64(leaderWeight+len(set.Peers))
+	followerRate, leaderRate := requestShares(limits.Store.RPS, len(set.Peers))
 	controller.store = kvstore.New(kvstore.Options{
 		Addr: set.Services.Store,
 		// The leader and the followers together stay within what the store allows.
-		RequestsPerSecond: followerRate, LeaderRequestsPerSecond: leaderWeight * followerRate,
+		RequestsPerSecond: followerRate, LeaderRequestsPerSecond: leaderRate,
 		HoldsLease: func() bool { return controller.elector.LeaseHeld() },
 		Limits:     storeLimits(limits.Store), AnnouncedLimits: storeLimits(limits.Store.Lowest()),
-		Timeout: set.HeartbeatInterval() / 2, Dial: controller.network.Dial,
+		Timeout: set.HeartbeatInterval() / 2, Dial: controller.network.Dial, Log: controller.log,
 	})
 	cloudRate := limits.Cloud.RPS * usableShare
 	controller.cloud = fleet.NewCloudClient(
@@ -120,6 +120,13 @@
 	controller.replica = replica.New(int(set.Operator.Recovery.FinishedJobsMemory * memory))
 }
 
+// requestShares are the request rates of a follower and of the leader where the store allows so
+// many requests a second to a controller and its peers together.
+func requestShares(allowed float64, peers int) (follower, leader float64) {
+	follower = allowed * requestShare / float64(leaderWeight+peers)
+	return follower, leaderWeight * follower
+}
+
 // storeLimits is what a controller may use of the store at a time.
 func storeLimits(limits settings.StoreLimits) kvstore.Limits {
 	return kvstore.Limits{
--- a/internal/serve/routes.go
+++ b/internal/serve/routes.go
@@ -14,6 +14,7 @@
 	mux.HandleFunc("GET /healthz", controller.health)
 	mux.HandleFunc("POST /agent/beat", controller.handleHeartbeat)
 	mux.HandleFunc("GET /operator/status", controller.status)
+	mux.HandleFunc("GET /operator/metrics", controller.metrics())
 	mux.HandleFunc("/v1/jobs", controller.handleUser)
 	mux.HandleFunc("/v1/jobs/", controller.handleUser)
 	return mux
--- a/internal/serve/status.go
+++ b/internal/serve/status.go
@@ -53,8 +53,9 @@
 	return status
 }
 
-// status answers an operator who may see it.
-func (controller *controller) status(w http.ResponseWriter, r *http.Request) {
+// authorizeOperator reports whether a request comes from an operator who may see the status, or
+// answers it.
+func (controller *controller) authorizeOperator(w http.ResponseWriter, r *http.Request) bool {
 	caller, err := controller.authorizer.Identify(r)
 	if err != nil {
 		status := http.StatusUnauthorized
@@ -62,10 +63,18 @@
 			status = http.StatusServiceUnavailable
 		}
 		replyError(w, status, err.Error())
-		return
+		return false
 	}
 	if decision := controller.authorizer.Decide(caller, rights.Request{Action: rights.Status}); !decision.Allowed {
 		replyError(w, http.StatusForbidden, decision.Rule)
+		return false
+	}
+	return true
+}
+
+// status answers an operator who may see it.
+func (controller *controller) status(w http.ResponseWriter, r *http.Request) {
+	if !controller.authorizeOperator(w, r) {
 		return
 	}
 	reply(w, http.StatusOK, Status{
