--- a/internal/sim/audit_test.go
+++ b/internal/sim/audit_test.go
@@ -38,7 +38,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b wire.KeyValue) int { return strings.Compare(a.Key, b.Key) })
-	return out, s.rev, nil
+	return out, s.revision, nil
 }
 
 func (s *store) Commit(_ context.Context, t wire.Txn) (uint64, []string, error) {
--- a/internal/sim/crashpoint_test.go
+++ b/internal/sim/crashpoint_test.go
@@ -21,7 +21,7 @@
 	seen := make(chan write, 1)
 	begun, n := false, 0
 	d.st.mu.Lock()
-	d.st.done = func(from string, t wire.Txn) bool {
+	d.st.onCommit = func(from string, t wire.Txn) bool {
 		begun = begun || puts(t, "history/id/")
 		if !begun || !puts(t, "history/") && !puts(t, "j/") && !puts(t, "c/") && !puts(t, "d/") {
 			return false
@@ -47,7 +47,7 @@
 		w.whole = true
 	}
 	d.st.mu.Lock()
-	d.st.done = nil
+	d.st.onCommit = nil
 	d.st.mu.Unlock()
 	if w.whole || !strings.HasPrefix(w.node, "host-") {
 		return 0, false
--- a/internal/sim/identity_test.go
+++ b/internal/sim/identity_test.go
@@ -110,7 +110,7 @@
 		refuse := func(on bool) {
 			st.mu.Lock()
 			defer st.mu.Unlock()
-			st.refuse["host-1"] = on
+			st.refusedAlone["host-1"] = on
 			st.cond.Broadcast()
 		}
 		refuse(true)
--- a/internal/sim/leaderfaults_test.go
+++ b/internal/sim/leaderfaults_test.go
@@ -89,7 +89,7 @@
 			playFaults(t, faultPlan{seed: 4, jobs: arrays(jobs, members, 150*time.Second, nil), troubles: func(m *scenario) {
 				m.st.mu.Lock()
 				epochs = nil
-				m.st.done = func(_ string, c wire.Txn) bool {
+				m.st.onCommit = func(_ string, c wire.Txn) bool {
 					for _, p := range c.Operations {
 						var e election.ShardMap
 						if p.Put == "epoch" && json.Unmarshal(p.Value, &e) == nil {
--- a/internal/sim/loss_test.go
+++ b/internal/sim/loss_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -298,7 +299,7 @@
 	for seed := range seeds(2) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				breaches, w := playWith(t, 1000+seed, nodes+int(seed%5), seed%2 == 1, []int{0, 1, 2, 3, 4, 5, 6, 7, loseAll, loseLast, loseSome}, "", nil)
+				breaches, w := playWith(t, 1000+seed, nodes+int(seed%5), seed%2 == 1, slices.Concat(commonFaults, dataLossFaults), "", nil)
 				for _, b := range breaches {
 					t.Error(b)
 				}
--- a/internal/sim/quick_test.go
+++ b/internal/sim/quick_test.go
@@ -27,7 +27,7 @@
 		}
 	}
 	d.st.mu.Lock()
-	d.st.done = func(node string, t wire.Txn) bool {
+	d.st.onCommit = func(node string, t wire.Txn) bool {
 		hit := m.commit != nil && m.commit(node, t)
 		if hit {
 			note()
@@ -49,7 +49,7 @@
 	case <-time.After(lease):
 	}
 	d.st.mu.Lock()
-	d.st.done = nil
+	d.st.onCommit = nil
 	d.st.mu.Unlock()
 	d.w.net.mu.Lock()
 	d.w.net.tap = nil
--- /dev/null
+++ b/internal/sim/storeserver_test.go
@@ -0,0 +1,173 @@
+package sim
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"rillflow/internal/wire"
+)
+
+// ServeHTTP serves the store's protocol. It models no connection limits and no body limits.
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	controller, _, _ := strings.Cut(r.RemoteAddr, ":")
+	// Ahead of the lock: a body may come in several packets, and whoever waits for a lock
+	// that is held meanwhile stops the simulation's clock.
+	body, _ := io.ReadAll(r.Body)
+	latency := s.drawLatency()
+	time.Sleep(latency / 4) // there
+	if r.URL.Path != "/changes" {
+		defer time.Sleep(3 * latency / 4) // and back: carried out, and not known yet
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLeases()
+	if s.down || s.refusedAlone[controller] {
+		answer(w, http.StatusServiceUnavailable, wire.ErrorResponse{Error: "trouble"})
+		return
+	}
+	s.asked[time.Now().Unix()]++
+	if !s.withinRate(s.requestRate, 1) {
+		s.requestsRefused++
+		answer(w, http.StatusTooManyRequests, wire.ErrorResponse{Error: "rate"})
+		return
+	}
+	switch path := r.URL.Path; {
+	case path == "/commit":
+		s.serveCommit(w, r, controller, body)
+	case path == "/store":
+		s.serveRange(w, r)
+	case strings.HasPrefix(path, "/store/"):
+		s.serveGet(w, path[len("/store/"):])
+	case path == "/changes":
+		s.serveWatch(w, r, controller)
+	case path == "/grants":
+		s.serveGrant(w, body)
+	default:
+		s.serveLease(w, r)
+	}
+}
+
+// drawLatency is how long a request and its answer take together.
+func (s *store) drawLatency() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.latency == 0 {
+		return 0
+	}
+	return s.latency/4 + time.Duration(s.rnd.Int64N(int64(s.latency)))
+}
+
+// serveCommit carries a transaction out, or a fault of one. It and all below are called with the
+// lock held.
+func (s *store) serveCommit(w http.ResponseWriter, r *http.Request, controller string, body []byte) {
+	var txn wire.Txn
+	json.Unmarshal(body, &txn)
+	if !s.withinRate(s.writeRate, len(txn.Operations)) {
+		answer(w, http.StatusTooManyRequests, wire.ErrorResponse{Error: "rate"})
+		return
+	}
+	if s.lateShare > 0 && s.rnd.Float64() < s.lateShare {
+		s.applyLate(txn, 2*time.Second+time.Duration(s.rnd.Int64N(int64(10*time.Second))))
+		if s.rnd.IntN(2) == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		s.mu.Unlock()
+		<-r.Context().Done() // its sender gives up
+		s.mu.Lock()
+		return
+	}
+	status, result := s.commit(txn)
+	s.wrote[time.Now().Unix()] += len(txn.Operations)
+	if s.rnd.IntN(50) == 0 { // a copy of it comes once more, much later or at once
+		s.applyLate(txn, time.Duration(s.rnd.Int64N(int64(2*lease))))
+	}
+	if status == http.StatusOK && s.onCommit != nil && s.onCommit(controller, txn) || s.rnd.IntN(100) == 0 {
+		panic(http.ErrAbortHandler) // executed, but the answer is lost
+	}
+	answer(w, status, result)
+}
+
+// rangeLimit is how many keys a page of a listing has: few, so that listings take several.
+const rangeLimit = 10
+
+func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	var page wire.RangeResponse
+	for key, item := range s.keys {
+		if strings.HasPrefix(key, query.Get("under")) && key > query.Get("after") {
+			page.Items = append(page.Items, item)
+		}
+	}
+	slices.SortFunc(page.Items, func(a, b wire.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+	if len(page.Items) > rangeLimit {
+		page.Items, page.More = page.Items[:rangeLimit], true
+	}
+	page.Revision = s.revision
+	answer(w, http.StatusOK, page)
+}
+
+func (s *store) serveGet(w http.ResponseWriter, key string) {
+	if item, ok := s.keys[key]; ok {
+		answer(w, http.StatusOK, item)
+	} else {
+		answer(w, http.StatusNotFound, wire.RangeResponse{Revision: s.revision})
+	}
+}
+
+// serveWatch answers once there are changes, or the time asked for is over. An outage lets it wait.
+func (s *store) serveWatch(w http.ResponseWriter, r *http.Request, controller string) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	waitMillis, _ := strconv.Atoi(query.Get("wait_ms"))
+	end := time.Now().Add(time.Duration(waitMillis) * time.Millisecond)
+	timer := time.AfterFunc(time.Until(end), func() { s.mu.Lock(); defer s.mu.Unlock(); s.cond.Broadcast() })
+	defer timer.Stop()
+	for {
+		var changes wire.WatchResponse
+		for _, change := range s.log {
+			if change.ModRevision > after && strings.HasPrefix(change.Put+change.Delete, query.Get("under")) {
+				changes.Events = append(changes.Events, change)
+			}
+		}
+		isServed := !s.down && !s.refusedAlone[controller]
+		if isServed && (len(changes.Events) > 0 || !time.Now().Before(end)) {
+			changes.Revision = s.revision
+			answer(w, http.StatusOK, changes)
+			return
+		}
+		if r.Context().Err() != nil {
+			return
+		}
+		s.cond.Wait()
+		s.expireLeases()
+	}
+}
+
+func (s *store) serveGrant(w http.ResponseWriter, body []byte) {
+	var asked wire.Lease
+	json.Unmarshal(body, &asked)
+	s.lastLease++
+	ttl := time.Duration(asked.TTLMillis) * time.Millisecond
+	s.leaseEnds[s.lastLease], s.leaseTTLs[s.lastLease] = time.Now().Add(ttl), ttl
+	answer(w, http.StatusOK, wire.Lease{ID: s.lastLease})
+}
+
+// serveLease renews or revokes a lease.
+func (s *store) serveLease(w http.ResponseWriter, r *http.Request) {
+	leaseID, _ := strconv.ParseUint(strings.Split(r.URL.Path, "/")[2], 10, 64)
+	if s.leaseEnds[leaseID].IsZero() {
+		answer(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	if r.Method == http.MethodDelete {
+		s.dropLease(leaseID)
+	} else {
+		s.leaseEnds[leaseID] = time.Now().Add(s.leaseTTLs[leaseID])
+	}
+	answer(w, http.StatusOK, struct{}{})
+}
