--- a/internal/sim/store_test.go
+++ b/internal/sim/store_test.go
@@ -94,6 +94,15 @@
 	s.log, s.logTimes = append(s.log, c), append(s.logTimes, time.Now())
 }
 
+// apply carries a change out; run it with the lock held.
+func (s *store) apply(c wire.Operation) {
+	if c.Put != "" {
+		s.keys[c.Put] = wire.KeyValue{Key: c.Put, Value: c.Value, ModRevision: c.ModRevision, LeaseID: c.LeaseID}
+	} else {
+		delete(s.keys, c.Delete)
+	}
+}
+
 // expireLeases ends leases that ran out; run it with the lock held.
 func (s *store) expireLeases() {
 	if s.down {
@@ -172,11 +181,7 @@
 	s.revision++
 	for _, c := range t.Operations {
 		c.ModRevision = s.revision
-		if c.Put != "" {
-			s.keys[c.Put] = wire.KeyValue{Key: c.Put, Value: c.Value, ModRevision: s.revision, LeaseID: c.LeaseID}
-		} else {
-			delete(s.keys, c.Delete)
-		}
+		s.apply(c)
 		s.recordEvent(c)
 	}
 	s.cond.Broadcast()
--- a/internal/sim/storefaults_test.go
+++ b/internal/sim/storefaults_test.go
@@ -88,11 +88,7 @@
 		s.revision, s.keys, s.log, s.logTimes = 1, map[string]wire.KeyValue{}, s.log[:n:n], s.logTimes[:n:n]
 		for _, c := range s.log {
 			s.revision = c.ModRevision
-			if c.Put != "" {
-				s.keys[c.Put] = wire.KeyValue{Key: c.Put, Value: c.Value, ModRevision: c.ModRevision, LeaseID: c.LeaseID}
-			} else {
-				delete(s.keys, c.Delete)
-			}
+			s.apply(c)
 		}
 		clear(s.leaseEnds)
 		for _, it := range s.keys { // grants come back with what is on them
