Job API: a poll whose first read was made is not shed between its reads

The status of an ended job takes two reads, and each was admitted by itself: under load the second found the queue as full as the first had, so that what was read was thrown away.

Change: what is left of a poll that was admitted counts as a user's write.

--- a/internal/intake/dependencies_test.go
+++ b/internal/intake/dependencies_test.go
@@ -112,12 +112,16 @@
 func users(t *testing.T, k *keys) (*API, *http.ServeMux) {
 	srv := httptest.NewServer(k)
 	t.Cleanup(srv.Close)
+	var d net.Dialer
+	return newTestAPI(kvstore.New(kvstore.Options{Addr: strings.TrimPrefix(srv.URL, "http://"), RequestsPerSecond: 1e4, Limits: kvstore.Limits{WritesPerSecond: 1e4}, Timeout: 5 * time.Second, Dial: d.DialContext}))
+}
+
+// newTestAPI is an API of a store, with its routes.
+func newTestAPI(st *kvstore.Client) (*API, *http.ServeMux) {
 	set := &settings.Settings{Facts: settings.Facts{
 		Teams: []settings.Team{{Name: "vision", CPUsMax: 64, GPUsMax: 4}},
 		Store: settings.StoreLimits{RPS: 1e4, WriteRPS: 1e4, ValueKB: 16, TxnOps: 16, Announced: &settings.AnnouncedStoreLimits{ValueKB: 2, TxnOps: 4}},
 	}}
-	var d net.Dialer
-	st := kvstore.New(kvstore.Options{Addr: strings.TrimPrefix(srv.URL, "http://"), RequestsPerSecond: 1e4, Limits: kvstore.Limits{WritesPerSecond: 1e4}, Timeout: 5 * time.Second, Dial: d.DialContext})
 	types := fleet.NewCatalogue(nil, time.Minute, nil)
 	types.Set([]wire.InstanceType{{Name: "g8", CPUs: 96, GPUs: 8, MemoryGB: 768, Zones: []string{"a"}}})
 	u := New(set, st, types, func(context.Context, string) (int, int, bool, error) { return 0, 0, false, nil }, func() bool { return false }, func() bool { return false }, access.New(set, st, nil, slog.New(slog.DiscardHandler)), &past{phase: dataloss.PhaseComplete, fed: true}, replica.New(1<<20), &herald{}, time.Now, slog.New(slog.DiscardHandler))
--- a/internal/intake/status.go
+++ b/internal/intake/status.go
@@ -31,7 +31,7 @@
 	job, err := api.lookup(ctx, id)
 	switch {
 	case err == nil:
-		api.replyIfAllowed(ctx, w, caller, job)
+		api.replyIfAllowed(admitted(ctx), w, caller, job)
 	case errors.Is(err, kvstore.ErrNotFound):
 		replyError(w, http.StatusNotFound, noSuchJob)
 	default:
@@ -39,6 +39,12 @@
 	}
 }
 
+// admitted is the context of what is left of a request whose first read was made. Were it shed like
+// the first, that read would be wasted, and the status of an ended job takes two.
+func admitted(ctx context.Context) context.Context {
+	return kvstore.WithPriority(ctx, kvstore.PriorityUserWrite)
+}
+
 // lookup finds a job's status, from this controller's memory or the store. ErrNotFound
 // means that the job was not accepted when its live key was read: a job goes only from
 // live to ended. Any other error means that nothing can be told now.
@@ -83,7 +89,7 @@
 	if !errors.Is(err, kvstore.ErrNotFound) {
 		return knownJob{}, err
 	}
-	item, err = api.store.Get(ctx, ledger.EndedKey(id))
+	item, err = api.store.Get(admitted(ctx), ledger.EndedKey(id))
 	if err != nil {
 		return knownJob{}, err
 	}
--- a/internal/kvstore/sharedread_test.go
+++ b/internal/kvstore/sharedread_test.go
@@ -2,43 +2,20 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
-)
-
-// pipeListener accepts connections in memory.
-type pipeListener chan net.Conn
 
-func (l pipeListener) Accept() (net.Conn, error) {
-	conn, ok := <-l
-	if !ok {
-		return nil, net.ErrClosed
-	}
-	return conn, nil
-}
-
-func (l pipeListener) Close() error {
-	close(l)
-	return nil
-}
-
-func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-func (l pipeListener) dial(context.Context, string, string) (net.Conn, error) {
-	client, server := net.Pipe()
-	l <- server
-	return client, nil
-}
+	"rillflow/internal/memnet"
+)
 
 // Guards against answers that are older than the request: a read under way is never shared.
 func TestSharedReadBeginsAfterAllItsReadersAsked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var requests atomic.Int64
-		listener := make(pipeListener)
+		listener := memnet.NewListener()
 		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			requests.Add(1)
 			time.Sleep(10 * time.Millisecond)
@@ -46,7 +23,7 @@
 		})}
 		go server.Serve(listener)
 		client := New(Options{
-			Addr: "store:1", RequestsPerSecond: 10, Limits: Limits{WritesPerSecond: 10}, Timeout: 10 * time.Second, Dial: listener.dial,
+			Addr: "store:1", RequestsPerSecond: 10, Limits: Limits{WritesPerSecond: 10}, Timeout: 10 * time.Second, Dial: listener.Dial,
 		})
 		ctx := WithPriority(t.Context(), PriorityStatusRead)
 		read := &concurrentReads{t: t, client: client}
