Store client: the rate in force is read from the limiter, not from a flag

Cause, found on reading the change again: whether the leader's rate was in force stood in a flag beside the limiter. A caller that saw the lease held and set the rate after another had seen it end left a follower with the leader's share, and the flag said follower, so that nothing took it back until the next term: the shares would add up to more than the store's rate.

Change: each request compares the rate that it finds with the one that is due. What a late caller sets lasts until the next request.

Evidence: TestLateRateOfAnEndedLeaseDoesNotStay failed before (40 requests a second without the lease, 20 due).

--- a/internal/kvstore/budget.go
+++ b/internal/kvstore/budget.go
@@ -31,7 +31,6 @@
 	followerRate     float64 // of requests
 	leaderRate       float64 // of requests, while holdsLease
 	holdsLease       func() bool
-	leading          atomic.Bool   // whether the leader's rate is in force
 	longestReadWait  time.Duration // of a status read
 	maxValueBytes    int
 	announced        Limits
@@ -86,12 +85,8 @@
 	if b.holdsLease == nil {
 		return
 	}
-	leading := b.holdsLease()
-	if b.leading.Swap(leading) == leading {
-		return
-	}
 	perSecond := b.followerRate
-	if leading {
+	if b.holdsLease() {
 		perSecond = b.leaderRate
 	}
 	b.requests.setRate(perSecond, requestBurst(perSecond))
--- a/internal/kvstore/budget_test.go
+++ b/internal/kvstore/budget_test.go
@@ -125,3 +125,18 @@
 		}
 	}
 }
+
+// Guards against a follower that keeps the leader's rate, set late by a caller that saw the lease held.
+func TestLateRateOfAnEndedLeaseDoesNotStay(t *testing.T) {
+	budget := newBudget(Options{
+		RequestsPerSecond: 20, LeaderRequestsPerSecond: 40, HoldsLease: func() bool { return false },
+		Limits: Limits{WritesPerSecond: 10}, Timeout: time.Second,
+	})
+	budget.requests.setRate(budget.leaderRate, requestBurst(budget.leaderRate))
+	if err := budget.wait(t.Context(), 0); err != nil {
+		t.Fatal(err)
+	}
+	if perSecond, _, _ := budget.requests.limits(); perSecond != 20 {
+		t.Errorf("%v requests a second without the lease, want 20", perSecond)
+	}
+}
--- a/internal/kvstore/prioritylimiter.go
+++ b/internal/kvstore/prioritylimiter.go
@@ -45,10 +45,13 @@
 	return &priorityLimiter{bucket: rate.NewLimiter(rate.Limit(perSecond), burst), sinceStarved: starvationInterval}
 }
 
-// setRate changes the rate and the burst from now on.
+// setRate changes the rate and the burst from now on, if they differ.
 func (l *priorityLimiter) setRate(perSecond float64, burst int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.bucket.Limit() == rate.Limit(perSecond) && l.bucket.Burst() == burst {
+		return
+	}
 	l.bucket.SetLimit(rate.Limit(perSecond))
 	l.bucket.SetBurst(burst)
 	l.dispatch()
