Store client and metrics: what a second reading found twice or needless

- The time for so many tokens was worked out in the limiter and in BulkWriteAllowance: tokenTime serves both.
- A shared read set the request's timeout that the request sets itself.
- The lower burst was compared with one that it can never exceed.
- The metrics used the registry that is meant for tests; the test of their names still has it.
Two comments said less than the code.

--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -134,7 +134,7 @@
 	}
 }
 
-// beginTerm lets StepDown and EndTermForDataLoss reach the term that begins. The context
+// beginTerm lets LeaseHeld, StepDown and EndTermForDataLoss reach the term that begins. The context
 // returned ends when the lease is no longer to be renewed.
 func (e *Elector) beginTerm(termCtx context.Context, term *Term, endTerm context.CancelCauseFunc) context.Context {
 	e.mu.Lock()
--- a/internal/kvstore/budget.go
+++ b/internal/kvstore/budget.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 )
@@ -62,7 +63,7 @@
 func writeBurst(perSecond float64) int { return max(minBurst, int(perSecond)) }
 
 // wait waits until a request with so many writes may be sent. A request that can't be sent before
-// ctx ends fails at once, with ErrShed if it is of the lowest priority.
+// ctx ends fails at once, and so does a status read that would wait for long; outcomeOf tells which.
 func (b *budget) wait(ctx context.Context, writes int) error {
 	b.adjustRate()
 	priority := priorityOf(ctx)
@@ -72,8 +73,12 @@
 	}
 	began := time.Now()
 	err := b.requests.wait(ctx, priority, 1, longest)
-	if err == nil && writes > 0 {
-		err = b.writes.wait(ctx, priority, writes, longest)
+	if err != nil {
+		err = fmt.Errorf("request budget: %w", err)
+	} else if writes > 0 {
+		if err = b.writes.wait(ctx, priority, writes, longest); err != nil {
+			err = fmt.Errorf("write budget: %w", err)
+		}
 	}
 	b.usage[priority].noteWait(time.Since(began), err)
 	return err
@@ -106,9 +111,9 @@
 	if b.announced.MaxValueBytes == 0 || b.lowered.Swap(true) {
 		return
 	}
-	perSecond, burst, _ := b.writes.limits()
+	perSecond, _, _ := b.writes.limits()
 	lower := min(perSecond, b.announced.WritesPerSecond)
-	b.writes.setRate(lower, min(int(burst), writeBurst(lower)))
+	b.writes.setRate(lower, writeBurst(lower))
 }
 
 // noteWriteRejection notes that the store refused a write for its rate. One may be bad luck among
@@ -138,7 +143,7 @@
 	perSecond, burst, available := c.budget.writes.limits()
 	reserve *= burst
 	if shortfall := min(float64(minimum)+reserve, burst) - available; shortfall > 0 {
-		return 0, time.Duration(shortfall / perSecond * float64(time.Second))
+		return 0, tokenTime(shortfall, perSecond)
 	}
 	return max(minimum, int(available-reserve)), 0
 }
--- a/internal/kvstore/prioritylimiter.go
+++ b/internal/kvstore/prioritylimiter.go
@@ -35,6 +35,11 @@
 	timer        *time.Timer // wakes those who wait when there are tokens; nil until needed
 }
 
+// tokenTime is how long it takes until there are so many tokens more.
+func tokenTime(tokens, perSecond float64) time.Duration {
+	return time.Duration(tokens / perSecond * float64(time.Second))
+}
+
 // tokenRequest is a request that waits for tokens.
 type tokenRequest struct {
 	tokens  int
@@ -142,12 +147,7 @@
 			needed += float64(l.capped(request.tokens))
 		}
 	}
-	return l.timeFor(needed)
-}
-
-// timeFor is how long it takes until there are so many tokens more.
-func (l *priorityLimiter) timeFor(tokens float64) time.Duration {
-	return time.Duration(tokens / float64(l.bucket.Limit()) * float64(time.Second))
+	return tokenTime(needed, float64(l.bucket.Limit()))
 }
 
 // dispatch grants what there are tokens for, and sees to it that the rest is looked at again.
@@ -156,7 +156,7 @@
 		priority := l.next()
 		tokens := l.capped(l.waiting[priority][0].tokens)
 		if !l.bucket.AllowN(time.Now(), tokens) {
-			l.wakeAfter(l.timeFor(float64(tokens) - l.bucket.Tokens()))
+			l.wakeAfter(tokenTime(float64(tokens)-l.bucket.Tokens(), float64(l.bucket.Limit())))
 			return
 		}
 		l.grant(priority)
--- a/internal/kvstore/sharedread.go
+++ b/internal/kvstore/sharedread.go
@@ -14,10 +14,8 @@
 func (c *Client) GetByListing(ctx context.Context, key string) (wire.KeyValue, error) {
 	shared := priorityOf(ctx).String() + " " + key
 	read := c.sharedReads.DoChan(shared, func() (any, error) {
-		// The first caller must not take the others with it.
-		sharedCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.timeout)
-		defer cancel()
-		return c.getByListing(sharedCtx, key, func() { c.sharedReads.Forget(shared) })
+		// The first caller must not take the others with it: only the request's timeout ends it.
+		return c.getByListing(context.WithoutCancel(ctx), key, func() { c.sharedReads.Forget(shared) })
 	})
 	select {
 	case <-ctx.Done():
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -78,7 +78,7 @@
 
 // metrics answers an operator who may see the status with the metrics in the Prometheus text format.
 func (controller *controller) metrics() http.HandlerFunc {
-	registry := prometheus.NewPedanticRegistry()
+	registry := prometheus.NewRegistry()
 	registry.MustRegister(metricsCollector{controller})
 	handler := promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
 	return func(w http.ResponseWriter, r *http.Request) {
