Metrics: operations by record, polls by outcome, age of the oldest unstored end

- rillflow_store_operations_total counts puts and deletes by key prefix and outcome,
- rillflow_polls_total counts polls as answered, shed, refused or unknown,
- rillflow_write_queue_chunks and rillflow_oldest_unstored_end_seconds tell the leader's backlog,
- "ends of jobs wait to be written" is logged at warn once an end waits for over a heartbeat.

Nothing else changes.

--- a/internal/intake/api.go
+++ b/internal/intake/api.go
@@ -61,6 +61,7 @@
 	dataLoss         DataLossState
 	replica          *replica.Replica
 	broadcaster      CancellationBroadcaster
+	polls            pollCounters
 }
 
 // CancellationBroadcaster has a committed cancellation known to all controllers that may
--- a/internal/intake/status.go
+++ b/internal/intake/status.go
@@ -29,6 +29,7 @@
 	ctx, cancel := context.WithTimeout(kvstore.WithPriority(r.Context(), kvstore.PriorityStatusRead), pollTimeout)
 	defer cancel()
 	job, err := api.lookup(ctx, id)
+	api.polls.add(err)
 	switch {
 	case err == nil:
 		api.replyIfAllowed(admitted(ctx), w, caller, job)
--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -38,6 +38,7 @@
 	lastAnswer   atomic.Int64 // nanoseconds from start, by the monotonic clock
 	requestCount atomic.Int64 // requests sent
 	sharedReads  singleflight.Group
+	operations   operationCounters
 	log          *slog.Logger
 }
 
--- a/internal/kvstore/requests.go
+++ b/internal/kvstore/requests.go
@@ -108,6 +108,7 @@
 		operation: "commit", key: firstKey(txn),
 		method: http.MethodPost, path: "/commit", body: txn, answer: &result, writes: len(txn.Operations),
 	})
+	c.operations.add(txn.Operations, txnOutcomeOf(result.FailedKeys, err))
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/leader/claimcommit.go
+++ b/internal/leader/claimcommit.go
@@ -162,4 +162,5 @@
 	if !w.jobs.NothingToWrite() {
 		notify(w.writeSignal)
 	}
+	w.logBacklog()
 }
--- a/internal/leader/claimwriter.go
+++ b/internal/leader/claimwriter.go
@@ -23,6 +23,7 @@
 	storeReader   *storeReader
 
 	lastNonUrgentTurn time.Time // when non-urgent changes were last written, or could have been
+	backlogLoggedAt   time.Time // when it was last looked whether ends wait for long
 }
 
 // minBatchOps is the least number of operations in a batch: the end of a job takes three.
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -101,6 +101,9 @@
 		if chunk := ref.chunk(); chunk == nil || !chunk.dirty {
 			continue
 		}
+		if ref.job.Finished && ref.job.endPendingFrom.IsZero() {
+			ref.job.endPendingFrom = now
+		}
 		wanted := limits.include(t.writes.isUrgent(ref))
 		if !wanted || !builder.hasRoom(ref) || !builder.add(ref) {
 			deferred = append(deferred, ref)
--- a/internal/ledger/batch_test.go
+++ b/internal/ledger/batch_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"rillflow/internal/settings"
 	"rillflow/internal/wire"
@@ -200,3 +201,28 @@
 		t.Error("the finish is not written in the end")
 	}
 }
+
+// Guards against ends of jobs that wait for long without anybody seeing it.
+func TestWriteBacklogTellsTheOldestEnd(t *testing.T) {
+	table := New("w", testTeams())
+	var claims []*Claim
+	for _, ref := range []string{"req-1", "req-2"} {
+		claim, err := table.Claim(table.AddJob(ref, newJobRecord("b", wire.KindArray, 1, 1), 7), "h", 1, "x")
+		if err != nil {
+			t.Fatal(err)
+		}
+		claims = append(claims, claim)
+	}
+	table.BatchCommitted(table.NextBatch(batchLimits(16), now), 8)
+	for i, claim := range claims {
+		table.Finish(claim)
+		table.BatchFailed(table.NextBatch(batchLimits(16), now.Add(time.Duration(1+2*i)*time.Second)))
+	}
+	if _, err := table.Claim(table.AddJob("req-3", newJobRecord("b", wire.KindArray, 1, 1), 7), "h", 1, "x"); err != nil {
+		t.Fatal(err)
+	}
+	want := WriteBacklog{Claims: 1, Ends: 2, OldestEnd: now.Add(time.Second)}
+	if got := table.WriteBacklog(); got != want {
+		t.Errorf("backlog %+v, want %+v", got, want)
+	}
+}
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -62,6 +62,7 @@
 	doneTasks    int
 
 	alreadyDone       bool            // read as done; only its chunks are left
+	endPendingFrom    time.Time       // since when its end waits to be written, as batches see it
 	unmetDependencies map[string]bool // jobs not known to be done
 	cancelledUpstream string          // a job that it depends on, if that was cancelled
 	cancelPendingFrom time.Time       // since when it is to be cancelled for that
--- a/internal/serve/controller.go
+++ b/internal/serve/controller.go
@@ -64,6 +64,7 @@
 	peers         *peer.Mesh
 	memory        *pressure.Gauge
 	users         http.Handler  // the job API
+	jobs          *intake.API   // what users serves
 	certs         *certs.Keeper // nil: no address has TLS
 	keys          *keyring.Ring // nil: neither identities nor the audit log are on
 	authorizer    *access.Authorizer
@@ -256,7 +257,7 @@
 		controller.replica, controller.broadcaster, now, controller.log)
 	mux := http.NewServeMux()
 	api.Routes(mux)
-	controller.users = mux
+	controller.users, controller.jobs = mux, api
 }
 
 // readLeader reads from the store who leads now. The error says that this controller and
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -31,6 +31,17 @@
 	storeSilenceMetric = prometheus.NewDesc(metricName("store", "silence_seconds"),
 		"Time since the key-value store last answered this controller.", nil, nil)
 
+	storeOperationsMetric = prometheus.NewDesc(metricName("store", "operations_total"),
+		"Puts and deletes in transactions, by the first part of the key and by what became of the transaction.",
+		[]string{"prefix", "change", "outcome"}, nil)
+	pollsMetric = prometheus.NewDesc(metricName("", "polls_total"),
+		"Status requests of users, by what they were answered.", []string{"outcome"}, nil)
+	writeQueueMetric = prometheus.NewDesc(metricName("", "write_queue_chunks"),
+		"Chunks of jobs that wait to be written, by what of them; 0 where another controller leads.",
+		[]string{"change"}, nil)
+	oldestEndMetric = prometheus.NewDesc(metricName("", "oldest_unstored_end_seconds"),
+		"Age of the oldest end of a job that is not stored; 0 where none waits or another controller leads.", nil, nil)
+
 	leaderMetric = prometheus.NewDesc(metricName("", "leader"),
 		"Whether this controller holds the leader's lease.", nil, nil)
 	leaderTermsMetric = prometheus.NewDesc(metricName("", "leader_terms_total"),
@@ -55,8 +66,8 @@
 	counter := func(metric *prometheus.Desc, value float64, labels ...string) {
 		metrics <- prometheus.MustNewConstMetric(metric, prometheus.CounterValue, value, labels...)
 	}
-	gauge := func(metric *prometheus.Desc, value float64) {
-		metrics <- prometheus.MustNewConstMetric(metric, prometheus.GaugeValue, value)
+	gauge := func(metric *prometheus.Desc, value float64, labels ...string) {
+		metrics <- prometheus.MustNewConstMetric(metric, prometheus.GaugeValue, value, labels...)
 	}
 	for _, priority := range kvstore.Priorities() {
 		usage := c.store.Usage(priority)
@@ -74,6 +85,23 @@
 	counter(leaderTermsMetric, float64(c.elector.TermsBegun()))
 	gauge(epochMetric, float64(c.elector.ShardMap().Epoch))
 	gauge(pendingCancellationMetric, c.leader.OldestPendingCancellation().Seconds())
+	for _, operations := range c.store.OperationCounts() {
+		change := "put"
+		if operations.IsDelete {
+			change = "delete"
+		}
+		counter(storeOperationsMetric, float64(operations.Count), operations.Prefix, change, operations.Outcome)
+	}
+	polls := c.jobs.PollStats()
+	counter(pollsMetric, float64(polls.Answered), "answered")
+	counter(pollsMetric, float64(polls.Unknown), "unknown_job")
+	counter(pollsMetric, float64(polls.Shed), "shed")
+	counter(pollsMetric, float64(polls.Refused), "refused")
+	backlog := c.leader.WriteBacklog()
+	gauge(writeQueueMetric, float64(backlog.Claims), "claim")
+	gauge(writeQueueMetric, float64(backlog.Ends), "end")
+	gauge(writeQueueMetric, float64(backlog.Other), "other")
+	gauge(oldestEndMetric, backlog.OldestEndAge.Seconds())
 }
 
 // metrics answers an operator who may see the status with the metrics in the Prometheus text format.
