Job API: status reads of live jobs cost one request a round, not one each

Cause: jobs whose ends wait to be written stay live and are polled, and each poll of a live job was one read of the store.

Fix: linearizable reads from memory, as etcd's by Raft's ReadIndex. A poll joins the next round, one request for the changes of live keys that is sent after the poll came; all polls of the round are answered from it. docs/design.md, "Too many requests", says why no answer goes back. A job that is not live is read from the store as before, and 404 is never told from memory.

TestReadsAreLinearizable (rapid, against a model) fails where a read does not wait for its round.

--- a/internal/intake/api.go
+++ b/internal/intake/api.go
@@ -19,6 +19,7 @@
 	"rillflow/internal/fleet"
 	"rillflow/internal/identity"
 	"rillflow/internal/kvstore"
+	"rillflow/internal/readindex"
 	"rillflow/internal/replica"
 	"rillflow/internal/rights"
 	"rillflow/internal/settings"
@@ -62,6 +63,7 @@
 	replica          *replica.Replica
 	broadcaster      CancellationBroadcaster
 	polls            pollCounters
+	liveJobs         *readindex.View // their teams, by ID
 }
 
 // CancellationBroadcaster has a committed cancellation known to all controllers that may
@@ -82,12 +84,14 @@
 	storeUnavailable, memoryFull func() bool, authorizer *access.Authorizer, dataLoss DataLossState,
 	replica *replica.Replica, broadcaster CancellationBroadcaster, now func() time.Time, log *slog.Logger,
 ) *API {
-	return &API{
+	api := &API{
 		settings: settings, store: store, types: types, taskCounts: counts,
 		storeUnavailable: storeUnavailable, memoryFull: memoryFull, authorizer: authorizer,
 		dataLoss: dataLoss, replica: replica, broadcaster: broadcaster, log: log, now: now,
 		finished: newJobCache(cachedJobs), accepted: newJobCache(cachedJobs),
 	}
+	api.liveJobs = readindex.New(api.liveJobsOptions())
+	return api
 }
 
 // Routes adds the API's requests to a mux.
--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -80,7 +80,7 @@
 func (api *API) cancelNotLive(
 	ctx context.Context, caller identity.Caller, id string, incarnation []wire.Compare, before replicaView,
 ) (knownJob, error) {
-	job, err := api.read(ctx, id, before)
+	job, err := api.readStored(ctx, id, before)
 	if errors.Is(err, kvstore.ErrNotFound) {
 		return api.cancelLostJob(ctx, caller, id, incarnation, before)
 	}
--- a/internal/intake/status.go
+++ b/internal/intake/status.go
@@ -81,16 +81,30 @@
 	return job, err
 }
 
-// read reads a job's status from the store.
-func (api *API) read(ctx context.Context, id string, before replicaView) (knownJob, error) {
+// readStored reads a job's status from the store.
+func (api *API) readStored(ctx context.Context, id string, before replicaView) (knownJob, error) {
 	item, err := api.store.GetByListing(ctx, ledger.LiveKey(id))
 	if err == nil {
-		return api.liveStatus(ctx, id, item.Value, before)
+		return api.liveStatus(ctx, id, func() (string, error) { return recordedTeam(id, item.Value) }, before)
 	}
 	if !errors.Is(err, kvstore.ErrNotFound) {
 		return knownJob{}, err
 	}
-	item, err = api.store.Get(admitted(ctx), ledger.EndedKey(id))
+	return api.readEnd(admitted(ctx), id)
+}
+
+// recordedTeam is the team in the record of a live job.
+func recordedTeam(id string, record []byte) (string, error) {
+	decoded, err := ledger.DecodeJobRecord(record)
+	if err != nil {
+		return "", fmt.Errorf("intake: record of job %s: %w", id, err)
+	}
+	return decoded.Job.Team, nil
+}
+
+// readEnd reads how a job ended. The error is ErrNotFound if it has not.
+func (api *API) readEnd(ctx context.Context, id string) (knownJob, error) {
+	item, err := api.store.Get(ctx, ledger.EndedKey(id))
 	if err != nil {
 		return knownJob{}, err
 	}
@@ -101,8 +115,10 @@
 	return api.remember(id, end), nil
 }
 
-// liveStatus is the status of a job whose live key was read.
-func (api *API) liveStatus(ctx context.Context, id string, record []byte, before replicaView) (knownJob, error) {
+// liveStatus is the status of a job that was found live. Its team is found out where it matters.
+func (api *API) liveStatus(
+	ctx context.Context, id string, team func() (string, error), before replicaView,
+) (knownJob, error) {
 	if job, ok := api.finishedButStoredLive(id, before); ok {
 		return job, nil
 	}
@@ -113,11 +129,10 @@
 	}
 	job := knownJob{JobStatus: wire.JobStatus{ID: id, Phase: wire.PhaseQueued}}
 	if !api.authorizer.AllowsEverybody() {
-		decoded, err := ledger.DecodeJobRecord(record)
-		if err != nil {
-			return knownJob{}, fmt.Errorf("intake: record of job %s: %w", id, err)
+		var err error
+		if job.team, err = team(); err != nil {
+			return knownJob{}, err
 		}
-		job.team = decoded.Job.Team
 	}
 	if done, running, ok, _ := api.taskCounts(ctx, id); ok { // only for display
 		job.Done, job.Running = &done, &running
--- a/internal/kvstore/requests.go
+++ b/internal/kvstore/requests.go
@@ -39,20 +39,37 @@
 // List reads all keys under a prefix, in pages, and returns the revision of the first. The items
 // may hold later changes already: events after that revision are to be applied by mod revision.
 func (c *Client) List(ctx context.Context, prefix string) (items []wire.KeyValue, revision uint64, err error) {
+	revision, err = c.ListPages(ctx, prefix, func(page []wire.KeyValue) error {
+		items = append(items, page...)
+		return nil
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	return items, revision, nil
+}
+
+// ListPages reads as List does, and gives the items to a function page by page. An error that it
+// returns ends the listing.
+func (c *Client) ListPages(
+	ctx context.Context, prefix string, take func(items []wire.KeyValue) error,
+) (revision uint64, err error) {
 	after := ""
 	for first := true; ; first = false {
 		page, err := c.listPage(ctx, pageRequest{
 			prefix: prefix, after: after, limit: listPageSize, extraTime: c.timeout,
 		})
 		if err != nil {
-			return nil, 0, err
+			return 0, err
 		}
 		if first {
 			revision = page.Revision
 		}
-		items = append(items, page.Items...)
+		if err := take(page.Items); err != nil {
+			return 0, err
+		}
 		if !page.More || len(page.Items) == 0 {
-			return items, revision, nil
+			return revision, nil
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
--- a/internal/kvstore/watch.go
+++ b/internal/kvstore/watch.go
@@ -17,10 +17,26 @@
 func (c *Client) Watch(
 	ctx context.Context, prefix string, afterRevision uint64, wait time.Duration,
 ) (wire.WatchResponse, error) {
-	request := call{
+	return c.watch(ctx, call{
 		operation: "watch", key: prefix,
 		method: http.MethodGet, path: watchPath(prefix, afterRevision, wait), extraTime: wait,
-	}
+	}, afterRevision)
+}
+
+// ChangesSince returns the changes under a prefix after a revision, without waiting for any. All
+// that were made before it is sent are among them; onSend is called just before that. Its errors
+// are those of Watch.
+func (c *Client) ChangesSince(
+	ctx context.Context, prefix string, afterRevision uint64, onSend func(),
+) (wire.WatchResponse, error) {
+	return c.watch(ctx, call{
+		operation: "read changes", key: prefix,
+		method: http.MethodGet, path: watchPath(prefix, afterRevision, 0), onSend: onSend,
+	}, afterRevision)
+}
+
+// watch makes a request for changes after a revision.
+func (c *Client) watch(ctx context.Context, request call, afterRevision uint64) (wire.WatchResponse, error) {
 	c.revision.mu.Lock()
 	incarnationEnded, latest := c.revision.incarnationEnded, c.revision.position.revision
 	c.revision.mu.Unlock()
--- /dev/null
+++ b/internal/readindex/view_test.go
@@ -0,0 +1,184 @@
+package readindex
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"rillflow/internal/kvstore"
+)
+
+// Guards against status answers from memory that are older than the question: each answer must
+// have been true at a moment between its read's beginning and end.
+func TestReadsAreLinearizable(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Uint32(), 20, 200).Draw(rt, "steps")
+		var wrong string
+		synctest.Test(t, func(t *testing.T) { wrong = playSteps(t, steps) })
+		if wrong != "" {
+			rt.Fatal(wrong)
+		}
+	})
+}
+
+// playSteps changes keys and reads them, as the bits of the steps say, and returns what was
+// answered that never was true while the read lasted.
+func playSteps(t *testing.T, steps []uint32) (wrong string) {
+	const names = 4
+	store := newFakeStore()
+	view, _, stop := startView(t, store, nil)
+	defer stop()
+	time.Sleep(100 * time.Millisecond)
+	var mu sync.Mutex
+	var readers sync.WaitGroup
+	answered := 0
+	for _, step := range steps {
+		name := fmt.Sprint(step >> 4 % names)
+		time.Sleep(time.Duration(step>>8%16) * time.Millisecond)
+		if step%4 < 2 {
+			store.set(name, step%2 == 0)
+			continue
+		}
+		readers.Go(func() {
+			from := time.Now()
+			_, exists, err := view.Read(t.Context(), name)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				return
+			}
+			answered++
+			if !store.couldBe(name, exists, from, time.Now()) {
+				wrong = fmt.Sprintf("%s exists=%v, asked at %v, answered at %v",
+					name, exists, from.Sub(store.began), time.Since(store.began))
+			}
+		})
+	}
+	readers.Wait()
+	if wrong == "" && answered == 0 && len(steps) > 100 {
+		wrong = "no read was answered from memory"
+	}
+	return wrong
+}
+
+// Guards against requests that grow with the number of those who read.
+func TestRoundsDoNotGrowWithReaders(t *testing.T) {
+	for _, readers := range []int{1, 5, 20} {
+		synctest.Test(t, func(t *testing.T) {
+			store := newFakeStore()
+			store.set("a", true)
+			view, _, stop := startView(t, store, nil)
+			defer stop()
+			time.Sleep(100 * time.Millisecond)
+			before := store.requestCount()
+			var waiting sync.WaitGroup
+			for range readers {
+				waiting.Go(func() {
+					for range 50 {
+						if _, exists, err := view.Read(t.Context(), "a"); err != nil || !exists {
+							t.Errorf("exists %v: %v", exists, err)
+						}
+						time.Sleep(10 * time.Millisecond)
+					}
+				})
+			}
+			waiting.Wait()
+			if got := store.requestCount() - before; got > 51 {
+				t.Errorf("%d requests for %d readers of 50 reads each, want one for each round", got, readers)
+			}
+		})
+	}
+}
+
+func TestViewUnavailable(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(*Options)
+		fault  func(*fakeStore, *kvstore.Client)
+		want   error
+	}{
+		{"rounds hang", nil, func(s *fakeStore, _ *kvstore.Client) { s.locked(func() { s.latency = time.Hour }) }, ErrUnavailable},
+		{"the store refuses", nil, func(s *fakeStore, _ *kvstore.Client) { s.locked(func() { s.status = http.StatusServiceUnavailable }) }, kvstore.ErrRefused},
+		{"too many keys", func(o *Options) { o.MaxKeys = 1 }, nil, ErrUnavailable},
+		{"the change log is compacted", nil, func(s *fakeStore, _ *kvstore.Client) { s.locked(func() { s.status = http.StatusGone }) }, ErrUnavailable},
+		{"the change log is behind", nil, func(s *fakeStore, c *kvstore.Client) {
+			s.locked(func() { s.frozenAt = s.revision })
+			s.set("c", true)
+			c.Probe(context.Background())
+			c.List(context.Background(), testPrefix)
+		}, ErrUnavailable},
+		{"another incarnation of the data", nil, func(_ *fakeStore, c *kvstore.Client) { c.StartIncarnation() }, ErrUnavailable},
+		{"the store lost data", nil, func(s *fakeStore, c *kvstore.Client) {
+			s.loseData(1)
+			c.List(context.Background(), testPrefix)
+		}, ErrUnavailable},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				store.set("a", true)
+				store.set("b", true)
+				view, client, stop := startView(t, store, tc.change)
+				defer stop()
+				time.Sleep(100 * time.Millisecond)
+				if tc.fault != nil {
+					tc.fault(store, client)
+				}
+				began := time.Now()
+				if _, exists, err := view.Read(t.Context(), "a"); !errors.Is(err, tc.want) {
+					t.Errorf("exists %v, error %v, want %v", exists, err, tc.want)
+				}
+				if waited := time.Since(began); waited > 400*time.Millisecond {
+					t.Errorf("waited for %v", waited)
+				}
+			})
+		})
+	}
+}
+
+// After a fault a view is loaded anew, and tells what is stored then.
+func TestViewReloads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.set("a", true)
+		view, client, stop := startView(t, store, nil)
+		defer stop()
+		time.Sleep(100 * time.Millisecond)
+		store.loseData(1)
+		store.set("b", true)
+		client.StartIncarnation()
+		view.Read(t.Context(), "a")
+		time.Sleep(10 * time.Second)
+		for name, want := range map[string]bool{"a": false, "b": true} {
+			if _, exists, err := view.Read(t.Context(), name); err != nil || exists != want {
+				t.Errorf("%s: exists %v, error %v, want %v", name, exists, err, want)
+			}
+		}
+	})
+}
+
+// BenchmarkMemory tells how much 50,000 live keys take.
+func BenchmarkMemory(b *testing.B) {
+	const names = 50_000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		keys := make(map[string]string)
+		for i := range names {
+			keys[fmt.Sprintf("req-%06d", i)] = ""
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/names, "B/key")
+		runtime.KeepAlive(keys)
+	}
+}
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -36,6 +36,14 @@
 		[]string{"prefix", "change", "outcome"}, nil)
 	pollsMetric = prometheus.NewDesc(metricName("", "polls_total"),
 		"Status requests of users, by what they were answered.", []string{"outcome"}, nil)
+	readRoundsMetric = prometheus.NewDesc(metricName("status_read", "rounds_total"),
+		"Rounds that confirmed what status requests are answered from memory.", nil, nil)
+	failedRoundsMetric = prometheus.NewDesc(metricName("status_read", "failed_rounds_total"),
+		"Rounds that failed.", nil, nil)
+	memoryReadsMetric = prometheus.NewDesc(metricName("status_read", "memory_reads_total"),
+		"Status requests answered from memory behind a round.", nil, nil)
+	liveJobsMetric = prometheus.NewDesc(metricName("status_read", "live_jobs"),
+		"Live jobs in memory; 0 where status requests are answered from the store.", nil, nil)
 	writeQueueMetric = prometheus.NewDesc(metricName("", "write_queue_chunks"),
 		"Chunks of jobs that wait to be written, by what of them; 0 where another controller leads.",
 		[]string{"change"}, nil)
@@ -97,6 +105,11 @@
 	counter(pollsMetric, float64(polls.Unknown), "unknown_job")
 	counter(pollsMetric, float64(polls.Shed), "shed")
 	counter(pollsMetric, float64(polls.Refused), "refused")
+	reads := c.jobs.LiveJobStats()
+	counter(readRoundsMetric, float64(reads.Rounds))
+	counter(failedRoundsMetric, float64(reads.FailedRounds))
+	counter(memoryReadsMetric, float64(reads.Reads))
+	gauge(liveJobsMetric, float64(reads.Keys))
 	backlog := c.leader.WriteBacklog()
 	gauge(writeQueueMetric, float64(backlog.Claims), "claim")
 	gauge(writeQueueMetric, float64(backlog.Ends), "end")
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -81,6 +81,7 @@
 	group.Go(func() error { return controller.elector.WatchShardMap(coordination) })
 	group.Go(func() error { return controller.elector.Run(coordination, controller.leader.Serve) })
 	group.Go(func() error { return controller.probeStore(coordination) })
+	group.Go(func() error { return controller.jobs.Run(ctx) })
 	group.Go(func() error { return controller.authorizer.Run(ctx, settings.HeartbeatInterval()) })
 	if controller.keys != nil {
 		group.Go(func() error { return controller.keys.Follow(ctx, settings.WorkerLease(), log) })
