Leader: a takeover reads the ends of jobs with stored chunks in pages

A new leader read the end record of each ended job of which chunks were left, one after the other: a read a job before it answers heartbeats, 2,000 of them some 30 s at the leader's rate, as long as a worker's lease. Now a request tells of all jobs in a range of IDs, so that there are as many requests as pages of end records, or as jobs if those are fewer.

No test failed before, for the reader is new; TestEndingsAreReadInPages holds 2,500 jobs to three requests.

--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 
 	iradix "github.com/hashicorp/go-immutable-radix/v2"
 
 	"rillflow/internal/dataloss"
-	"rillflow/internal/kvstore"
 	"rillflow/internal/ledger"
 	"rillflow/internal/recovery"
 	"rillflow/internal/replica"
@@ -97,23 +95,26 @@
 // while a new leader reads.
 func (l *loader) endingsOfOrphanedClaims(ctx context.Context, state *loadedState) (map[string][]byte, error) {
 	live, endings := state.liveJobs(), make(map[string][]byte)
+	var unknown []string
 	for _, item := range state.chunks {
 		jobID, ok := ledger.JobOfChunkKey(item.Key)
 		if _, seen := endings[jobID]; !ok || live[jobID] || seen {
 			continue
 		}
-		end := state.recovered[jobID]
-		if end == nil {
-			var err error
-			end, err = l.storeReader.readEnding(ctx, jobID)
-			if errors.Is(err, kvstore.ErrNotFound) {
-				return nil, l.suspectDataLoss(fmt.Errorf("claims of job %s without its record", jobID))
-			}
-			if err != nil {
-				return nil, err
-			}
+		endings[jobID] = state.recovered[jobID]
+		if endings[jobID] == nil {
+			unknown = append(unknown, jobID)
+		}
+	}
+	read, err := l.storeReader.readEndings(ctx, unknown)
+	if err != nil {
+		return nil, err
+	}
+	for _, jobID := range unknown {
+		if read[jobID] == nil {
+			return nil, l.suspectDataLoss(fmt.Errorf("claims of job %s without its record", jobID))
 		}
-		endings[jobID] = end
+		endings[jobID] = read[jobID]
 	}
 	return endings, nil
 }
--- a/internal/leader/load_test.go
+++ b/internal/leader/load_test.go
@@ -144,3 +144,52 @@
 	b.ReportMetric(float64(store.requests)/float64(b.N), "requests/op")
 	b.ReportMetric(float64(store.bytes)/float64(b.N)/1024, "KB/op")
 }
+
+// Guards against takeovers that last for a read a job, where many ended jobs have chunks left.
+func TestEndingsAreReadInPages(t *testing.T) {
+	const ended, pages = 2500, 3
+	store := &fakeStore{data: make(map[string][]byte)}
+	var all []string
+	for i := range ended {
+		jobID := fmt.Sprintf("req-%06d", 7*i)
+		all = append(all, jobID)
+		store.data[ledger.EndedKey(jobID)] = []byte(fmt.Sprint(i))
+	}
+	store.keys = slices.Sorted(maps.Keys(store.data))
+	server := httptest.NewServer(store)
+	defer server.Close()
+	var dialer net.Dialer
+	client := kvstore.New(kvstore.Options{
+		Addr: strings.TrimPrefix(server.URL, "http://"), RequestsPerSecond: 1e6,
+		Limits: kvstore.Limits{WritesPerSecond: 1e6}, Timeout: time.Minute, Dial: dialer.DialContext,
+	})
+	reader := &storeReader{&termScope{environment: &environment{store: client, settings: &settings.Settings{}}}}
+	for _, tc := range []struct {
+		name     string
+		jobs     []string
+		found    int
+		requests int
+	}{
+		{"none", nil, 0, 0},
+		{"one", all[1234:1235], 1, 1},
+		{"the first and the last", []string{all[0], all[ended-1]}, 2, 2},
+		{"one that has none", []string{"req-000001"}, 0, 1},
+		{"one behind all", []string{"req-999999"}, 0, 1},
+		{"all", all, ended, pages},
+		{"all, and some that have none", append([]string{"req-000001", "req-999999"}, all...), ended, pages + 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			store.requests = 0
+			endings, err := reader.readEndings(t.Context(), tc.jobs)
+			if err != nil || len(endings) != tc.found || store.requests != tc.requests {
+				t.Errorf("%d end records by %d requests: %v, want %d by %d",
+					len(endings), store.requests, err, tc.found, tc.requests)
+			}
+			for jobID, end := range endings {
+				if string(end) != string(store.data[ledger.EndedKey(jobID)]) {
+					t.Errorf("%s has the end record %s", jobID, end)
+				}
+			}
+		})
+	}
+}
--- a/internal/leader/storereader.go
+++ b/internal/leader/storereader.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 
 	"rillflow/internal/kvstore"
 	"rillflow/internal/ledger"
@@ -61,6 +63,48 @@
 	return item, err
 }
 
+// endingsPageSize is how many end records are read with one request.
+const endingsPageSize = 1000
+
+// readEndings reads the end records of several jobs, in requests of which each tells of all jobs in a
+// range of IDs: as few as the jobs, or as the pages of all end records. It leaves out jobs that
+// have none.
+func (r *storeReader) readEndings(ctx context.Context, jobIDs []string) (map[string][]byte, error) {
+	wanted := slices.Sorted(slices.Values(jobIDs))
+	endings := make(map[string][]byte, len(wanted))
+	for len(wanted) > 0 {
+		page, err := r.endingsFrom(ctx, wanted[0])
+		if err != nil {
+			return nil, err
+		}
+		if len(page) == 0 {
+			break
+		}
+		for _, item := range page {
+			jobID := strings.TrimPrefix(item.Key, ledger.EndedPrefix)
+			if at, isWanted := slices.BinarySearch(wanted, jobID); isWanted {
+				endings[wanted[at]] = item.Value
+			}
+		}
+		last := page[len(page)-1].Key
+		wanted = slices.DeleteFunc(wanted, func(jobID string) bool { return ledger.EndedKey(jobID) <= last })
+	}
+	return endings, nil
+}
+
+// endingsFrom reads a page of end records, from that of a job on.
+func (r *storeReader) endingsFrom(ctx context.Context, jobID string) (page []wire.KeyValue, err error) {
+	key := []byte(ledger.EndedKey(jobID))
+	key[len(key)-1]-- // no ID lies between: they end with digits
+	succeeded := func(err error) bool { return err == nil }
+	err = r.retry(ctx, succeeded, func() error {
+		var err error
+		page, _, err = r.store.Page(ctx, ledger.EndedPrefix, string(key), endingsPageSize)
+		return err
+	})
+	return page, err
+}
+
 // requireEnding reads the end record of a job whose live key is deleted. A job leaves its live
 // key only with an end record: that of one without it was lost.
 func (r *storeReader) requireEnding(ctx context.Context, jobID string) ([]byte, error) {
