Leader: dependents are cancelled in smaller batches where the store refuses large ones

What callers saw: dependents of cancelled jobs stayed queued for ever (orphaned), while everything else went on.

Cause, from the debug log: the batch of up to eight dependents, 16 operations, was answered 429, and sent again as it was, 60 times and more. Batches of claims and ends did not suffer: they are made anew after a refusal, from what is left of this controller's own budget.

Fix: a batch that was surely refused for the rate is made again with half the jobs, down to one.

Evidence: TestOverloadThroughLeaderCrashAndOutage and TestPropagationSendsFewerWhereTheRateIsUsedUp failed before, and pass.

--- a/internal/leader/propagator.go
+++ b/internal/leader/propagator.go
@@ -17,11 +17,14 @@
 // propagator cancels the dependents of cancelled jobs.
 //
 // Serve runs its loop, runPropagation, apart from the look-ups of dependencies, which may take
-// long. It has no state of its own: the job table holds what is to be cancelled. It holds the slot
-// of the audit log while a batch is in flight, and must not hold mu during a request to the store.
+// long. The job table holds what is to be cancelled. It holds the slot of the audit log while a
+// batch is in flight, and must not hold mu during a request to the store.
 type propagator struct {
 	*termScope
 	cancellations *cancellations
+
+	// Only the loop uses it: how often in a row the store refused a batch for its rate.
+	rateRefusals int
 }
 
 // runPropagation cancels dependents whenever there are any to cancel.
@@ -79,6 +82,7 @@
 		return err
 	}
 	txn := wire.Txn{Compares: append(p.leadership.Compares(), batch.Compares...), Operations: batch.Operations}
+	uncertain := false // whether an earlier attempt may have been applied
 	for attempt := 0; ; attempt++ {
 		_, failed, err := p.store.Commit(ctx, txn)
 		if err == nil && len(failed) > 0 && len(batch.blocks) > 0 {
@@ -89,15 +93,15 @@
 			}
 		}
 		if err == nil {
+			p.rateRefusals = 0
 			return p.dependentsCancelled(batch, failed)
 		}
-		if errors.Is(err, kvstore.ErrTooLarge) {
-			p.mu.Lock()
-			p.auditLog.batchFailed(batch.auditedBatch)
-			p.mu.Unlock()
-			return nil // made again, for the limits in force
+		rateLimited := errors.Is(err, kvstore.ErrRateLimited) && !uncertain
+		if rateLimited || errors.Is(err, kvstore.ErrTooLarge) {
+			return p.refused(ctx, batch, rateLimited) // made again, for the limits in force
 		}
-		// Whether its outcome is unknown or not, the same is asked for again: a job that
+		uncertain = uncertain || errors.Is(err, kvstore.ErrOutcomeUnknown)
+		// Where its outcome is unknown, the same is asked for again: a job that
 		// was cancelled by it fails its compare then, which is as good.
 		if !p.backOffWrite(ctx, attempt) {
 			return ctx.Err()
@@ -105,14 +109,32 @@
 	}
 }
 
+// refused takes in that a batch was surely not applied. One that was too much for the store's rate
+// is made again with fewer jobs: while the store is busy it may never have room for many
+// operations at once, though it takes a few at any time.
+func (p *propagator) refused(ctx context.Context, batch *dependentsBatch, rateLimited bool) error {
+	p.mu.Lock()
+	p.auditLog.batchFailed(batch.auditedBatch)
+	p.mu.Unlock()
+	if !rateLimited {
+		return nil
+	}
+	p.rateRefusals++
+	if !p.backOffWrite(ctx, p.rateRefusals-1) {
+		return ctx.Err()
+	}
+	return nil
+}
+
 // nextDependents makes the batch that cancels the next few dependents, or returns
 // errNothingToWrite. Callers hold mu.
 func (p *propagator) nextDependents() (*dependentsBatch, error) {
 	now, limits := p.now(), p.txnLimits()
 	maxJobs := limits.operations / 2
 	if p.auditLog != nil {
-		maxJobs = max(1, (limits.operations-1)/2) // one operation for the block that records it
+		maxJobs = (limits.operations - 1) / 2 // one operation for the block that records it
 	}
+	maxJobs = max(1, maxJobs>>min(p.rateRefusals, limits.operations))
 	jobs := p.jobs.JobsToCancel(maxJobs)
 	if len(jobs) == 0 {
 		return nil, errNothingToWrite
--- a/internal/leader/propagator_test.go
+++ b/internal/leader/propagator_test.go
@@ -107,3 +107,35 @@
 		t.Error("req-4 is not cancelled while the end of req-1 is looked up")
 	}
 }
+
+// Guards against dependents that are never cancelled: a batch of more operations than the store has
+// room for at a time was sent again as it was, for ever.
+func TestPropagationSendsFewerWhereTheRateIsUsedUp(t *testing.T) {
+	for _, room := range []int{2, 4, 15, 16} {
+		t.Run(fmt.Sprint(room), func(t *testing.T) {
+			const dependents = 20
+			cancelled, requests := 0, 0
+			leader := newStoreTerm(t, func(w http.ResponseWriter, r *http.Request) {
+				var txn wire.Txn
+				if err := json.NewDecoder(r.Body).Decode(&txn); err != nil {
+					t.Error(err)
+				}
+				if requests++; len(txn.Operations) > room {
+					w.WriteHeader(http.StatusTooManyRequests)
+					return
+				}
+				cancelled += len(txn.Operations) / 2
+				fmt.Fprint(w, `{"generation":9}`)
+			})
+			for i := range dependents {
+				leader.addDependent(jobName(i), "upstream")
+			}
+			leader.jobs.ResolveDependency("upstream", false, now)
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			if err := leader.propagator.propagateCancellations(ctx); err != nil || cancelled != dependents {
+				t.Errorf("%d of %d are cancelled by %d requests: %v", cancelled, dependents, requests, err)
+			}
+		})
+	}
+}
--- a/internal/sim/writeoverload_test.go
+++ b/internal/sim/writeoverload_test.go
@@ -58,3 +58,40 @@
 		},
 	})
 }
+
+// Guards against a successor that does not go on with the backlog, and against cancellations that
+// wait behind it: the leader crashes in an overload, the store is away, and chains are cancelled.
+func TestOverloadThroughLeaderCrashAndOutage(t *testing.T) {
+	const lines, firstHead = 8, overloadJobs
+	playFaults(t, faultPlan{
+		seed: 778, most: 12, limit: 100, jobs: chains(firstHead, lines),
+		troubles: func(m *scenario) {
+			concurrently(
+				func() { m.overloadWrites(60, 12) },
+				func() {
+					time.Sleep(60 * time.Second)
+					m.crashController(max(0, m.st.leads()), 5*time.Second)
+				},
+				func() {
+					time.Sleep(75 * time.Second)
+					for line := range lines {
+						m.w.wg.Go(func() { m.cancelRepeatedly(line%nodes, 60*time.Second, ref(firstHead+3*line)) })
+					}
+				},
+				func() {
+					time.Sleep(90 * time.Second)
+					m.st.outage(true)
+					time.Sleep(15 * time.Second)
+					m.st.outage(false)
+				},
+			)
+		},
+		ends: func(m *scenario) {
+			for line := range lines {
+				if head := ref(firstHead + 3*line); m.w.gone[head].IsZero() {
+					m.Errorf("%s was never told cancelled", head)
+				}
+			}
+		},
+	})
+}
