Retry and JSON answers: one of each in place of three and two

Backoff lived in the store's client though peers, the cloud's client and the elector use it; leader.sleep was the wait inside it, and the view of live jobs had added another. All are internal/retry now. The job API and the server wrote JSON answers by two pairs of the same functions; both use jsonhttp.Answer. ledger.Batch.ChunkKeys, which nobody called, is gone.

--- a/internal/cancellation/broadcast.go
+++ b/internal/cancellation/broadcast.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"rillflow/internal/kvstore"
+	"rillflow/internal/retry"
 )
 
 // Errors of a broadcast.
@@ -62,7 +62,7 @@
 			return nil
 		}
 		if !errors.Is(err, errLaunchesUnresolved) ||
-			!kvstore.Backoff(ctx, attempt, b.InitialBackoff, maxBackoffFactor*b.InitialBackoff) {
+			!retry.Backoff(ctx, attempt, b.InitialBackoff, maxBackoffFactor*b.InitialBackoff) {
 			return fmt.Errorf("broadcast job %s: %w", jobID, err)
 		}
 	}
--- a/internal/dataloss/detector.go
+++ b/internal/dataloss/detector.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"rillflow/internal/kvstore"
+	"rillflow/internal/retry"
 	"rillflow/internal/wire"
 )
 
@@ -88,7 +89,7 @@
 		askedAt := time.Now()
 		items, _, err := d.store.List(ctx, keyPrefix)
 		if err != nil {
-			kvstore.Backoff(ctx, attempt, pollWait/backoffBaseDivisor, pollWait/backoffLimitDivisor)
+			retry.Backoff(ctx, attempt, pollWait/backoffBaseDivisor, pollWait/backoffLimitDivisor)
 			attempt++
 			d.Recheck()
 			continue
--- a/internal/election/campaign.go
+++ b/internal/election/campaign.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rillflow/internal/kvstore"
+	"rillflow/internal/retry"
 	"rillflow/internal/wire"
 )
 
@@ -46,7 +47,7 @@
 	}
 	e.setLeader("")
 	if pause := e.campaignPause(); pause > 0 {
-		kvstore.Backoff(ctx, 0, min(pause, e.leaseDuration/4), e.leaseDuration)
+		retry.Backoff(ctx, 0, min(pause, e.leaseDuration/4), e.leaseDuration)
 		return nil, 0, errCampaignPaused
 	}
 	term, err := e.campaign(ctx)
--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -19,6 +19,7 @@
 
 	"rillflow/internal/dataloss"
 	"rillflow/internal/kvstore"
+	"rillflow/internal/retry"
 )
 
 // The first and the longest pause after a failed request, as parts of a lease's duration.
@@ -100,7 +101,7 @@
 
 // backoff waits before a request to the store is tried again.
 func (e *Elector) backoff(ctx context.Context, attempt int) {
-	kvstore.Backoff(ctx, attempt, e.leaseDuration/backoffBaseDivisor, e.leaseDuration/backoffLimitDivisor)
+	retry.Backoff(ctx, attempt, e.leaseDuration/backoffBaseDivisor, e.leaseDuration/backoffLimitDivisor)
 }
 
 // serveTerm serves one term until it ends: the lease expired, serve returned, data loss is
--- a/internal/fleet/catalogue.go
+++ b/internal/fleet/catalogue.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"rillflow/internal/kvstore"
+	"rillflow/internal/retry"
 	"rillflow/internal/wire"
 )
 
@@ -65,7 +65,7 @@
 		types, err := c.cloud.InstanceTypes(ctx)
 		if err != nil || len(types) == 0 {
 			c.log.Debug("list instance types failed", "err", err)
-			kvstore.Backoff(ctx, attempt, c.refreshInterval/retryBaseShare, c.refreshInterval/retryLimitShare)
+			retry.Backoff(ctx, attempt, c.refreshInterval/retryBaseShare, c.refreshInterval/retryLimitShare)
 			attempt++
 			continue
 		}
--- a/internal/identity/admin.go
+++ b/internal/identity/admin.go
@@ -13,6 +13,7 @@
 	"rillflow/internal/audit"
 	"rillflow/internal/keyring"
 	"rillflow/internal/kvstore"
+	"rillflow/internal/retry"
 	"rillflow/internal/rights"
 	"rillflow/internal/wire"
 )
@@ -89,7 +90,7 @@
 		case errors.Is(err, kvstore.ErrTooLarge):
 			return err
 		}
-		if try == maxAttempts || !kvstore.Backoff(ctx, try, 100*time.Millisecond, 2*time.Second) {
+		if try == maxAttempts || !retry.Backoff(ctx, try, 100*time.Millisecond, 2*time.Second) {
 			return fmt.Errorf("identity: whether this was done is not known, see token list: %w", err)
 		}
 	}
--- a/internal/intake/api.go
+++ b/internal/intake/api.go
@@ -21,6 +21,7 @@
 	"rillflow/internal/kvstore"
 	"rillflow/internal/readindex"
 	"rillflow/internal/replica"
+	"rillflow/internal/retry"
 	"rillflow/internal/rights"
 	"rillflow/internal/settings"
 	"rillflow/internal/wire"
@@ -112,7 +113,7 @@
 	if refused || errors.Is(err, kvstore.ErrShed) || api.storeUnavailable() {
 		return false
 	}
-	return kvstore.Backoff(ctx, attempt, firstRetryDelay, longestRetryDelay)
+	return retry.Backoff(ctx, attempt, firstRetryDelay, longestRetryDelay)
 }
 
 // identify finds out who makes a request, or answers it.
--- a/internal/intake/dataloss.go
+++ b/internal/intake/dataloss.go
@@ -10,6 +10,7 @@
 	"rillflow/internal/dataloss"
 	"rillflow/internal/kvstore"
 	"rillflow/internal/ledger"
+	"rillflow/internal/retry"
 	"rillflow/internal/wire"
 )
 
@@ -128,7 +129,7 @@
 	if !errors.Is(err, dataloss.ErrDataLossSuspected) || api.storeUnavailable() || !api.dataLoss.NeverInitialized() {
 		return false
 	}
-	return kvstore.Backoff(ctx, attempt, firstRetryDelay, longestFirstLeaderDelay)
+	return retry.Backoff(ctx, attempt, firstRetryDelay, longestFirstLeaderDelay)
 }
 
 // endNotRestored reports whether the job's end may have to be stored again, so that the
--- a/internal/intake/reply.go
+++ b/internal/intake/reply.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math"
 	"net/http"
@@ -10,6 +9,7 @@
 	"time"
 
 	"rillflow/internal/identity"
+	"rillflow/internal/jsonhttp"
 	"rillflow/internal/kvstore"
 	"rillflow/internal/rights"
 	"rillflow/internal/wire"
@@ -22,20 +22,8 @@
 	retryAfter = time.Second // the least that a Retry-After header can say
 )
 
-func reply(w http.ResponseWriter, status int, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		status, body = http.StatusInternalServerError, []byte("{}")
-	}
-	header := w.Header()
-	header.Set("Content-Type", "application/json")
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	w.Write(body)
-}
-
 func replyError(w http.ResponseWriter, status int, reason string) {
-	reply(w, status, wire.ErrorResponse{Error: reason})
+	jsonhttp.Answer(w, status, wire.ErrorResponse{Error: reason})
 }
 
 // replyBusy tells the user to come back after the least time there is.
@@ -86,7 +74,7 @@
 		api.finished.put(job.ID, job)
 	}
 	api.log.Debug("status answered", "job", job.ID, "phase", job.Phase)
-	reply(w, http.StatusOK, job.JobStatus)
+	jsonhttp.Answer(w, http.StatusOK, job.JobStatus)
 }
 
 // replyRejected answers a submission that cannot be accepted. A job that is known is never
--- a/internal/intake/submit.go
+++ b/internal/intake/submit.go
@@ -10,6 +10,7 @@
 
 	"rillflow/internal/dataloss"
 	"rillflow/internal/identity"
+	"rillflow/internal/jsonhttp"
 	"rillflow/internal/kvstore"
 	"rillflow/internal/ledger"
 	"rillflow/internal/rights"
@@ -56,7 +57,7 @@
 		replyBusy(w, storeBusy)
 	case created:
 		api.logAccepted(&job, caller, api.now().Sub(began))
-		reply(w, http.StatusCreated, wire.JobStatus{ID: id, Phase: wire.PhaseQueued})
+		jsonhttp.Answer(w, http.StatusCreated, wire.JobStatus{ID: id, Phase: wire.PhaseQueued})
 	default:
 		api.replyRepeated(ctx, w, caller, id)
 	}
--- a/internal/jsonhttp/jsonhttp.go
+++ b/internal/jsonhttp/jsonhttp.go
@@ -1,7 +1,7 @@
 // Package jsonhttp exchanges JSON messages with HTTP servers over pooled connections. It is what
 // the clients of the key-value store, of the workers and of the cloud have in common: it encodes
 // a request, sends it once, reads the whole answer and tells errors that prove that nothing was
-// sent from those that don't.
+// sent from those that don't. The servers of users, workers and operators write their answers by it.
 //
 // It owns the connections and nothing else. It must not retry, limit rates, set time limits or
 // judge a status code: these differ between the servers and are decided by its callers.
--- a/internal/kvstore/watch.go
+++ b/internal/kvstore/watch.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"rillflow/internal/retry"
 	"rillflow/internal/wire"
 )
 
@@ -101,7 +102,7 @@
 		if errors.Is(err, ErrCompacted) {
 			revision = 0
 		}
-		Backoff(ctx, attempt, watcher.BackoffBase, watcher.BackoffLimit)
+		retry.Backoff(ctx, attempt, watcher.BackoffBase, watcher.BackoffLimit)
 		attempt++
 	}
 	return ctx.Err()
--- a/internal/leader/antientropy.go
+++ b/internal/leader/antientropy.go
@@ -13,6 +13,7 @@
 	"rillflow/internal/ledger"
 	"rillflow/internal/recovery"
 	"rillflow/internal/replica"
+	"rillflow/internal/retry"
 	"rillflow/internal/wire"
 )
 
@@ -58,7 +59,7 @@
 // runAntiEntropy compares one page of keys after the other.
 func (s *scrubber) runAntiEntropy(ctx context.Context) error {
 	cursor := scrubCursor{interval: s.settings.HeartbeatInterval() / 8, keys: firstRoundAcceleration * keysPerHeartbeat}
-	for sleep(ctx, cursor.interval) {
+	for retry.Sleep(ctx, cursor.interval) {
 		before, _ := s.replica.Tree()
 		prefix := scrubPrefixes[cursor.prefix]
 		items, last, err := s.store.Page(ctx, prefix, cursor.after, cursor.keys)
@@ -149,7 +150,7 @@
 		return false, nil
 	}
 	// Deleted by somebody meanwhile, and the replica is yet to be told?
-	if !sleep(ctx, s.settings.HeartbeatInterval()/4) {
+	if !retry.Sleep(ctx, s.settings.HeartbeatInterval()/4) {
 		return false, ctx.Err()
 	}
 	_, remembered := s.replica.Get(key)
--- a/internal/leader/autoscaler.go
+++ b/internal/leader/autoscaler.go
@@ -8,6 +8,7 @@
 	"rillflow/internal/audit"
 	"rillflow/internal/dataloss"
 	"rillflow/internal/fleet"
+	"rillflow/internal/retry"
 	"rillflow/internal/wire"
 )
 
@@ -43,7 +44,7 @@
 	interval := max(a.settings.HeartbeatInterval()/2, budgeted)
 	for round := 0; ; round++ {
 		if !a.leadership.LeaseHeld(a.now()) {
-			if !sleep(ctx, interval) {
+			if !retry.Sleep(ctx, interval) {
 				return ctx.Err()
 			}
 			continue
@@ -58,7 +59,7 @@
 			}
 		}
 		a.scale(ctx)
-		if !sleep(ctx, interval) {
+		if !retry.Sleep(ctx, interval) {
 			return ctx.Err()
 		}
 	}
--- a/internal/leader/commander.go
+++ b/internal/leader/commander.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"rillflow/internal/agent"
-	"rillflow/internal/kvstore"
+	"rillflow/internal/retry"
 	"rillflow/internal/wire"
 )
 
@@ -61,7 +61,7 @@
 		// A worker that does not take commands gets them with its next heartbeat.
 		c.log.Debug("direct command failed", "worker", worker.Name, "refused", refused, "err", err)
 		if unheard {
-			kvstore.Backoff(ctx, attempt, c.settings.HeartbeatInterval()/8, c.settings.HeartbeatInterval())
+			retry.Backoff(ctx, attempt, c.settings.HeartbeatInterval()/8, c.settings.HeartbeatInterval())
 			attempt = min(attempt+1, maxCommandAttempts)
 		}
 	}
--- a/internal/leader/failures.go
+++ b/internal/leader/failures.go
@@ -7,6 +7,7 @@
 	"rillflow/internal/agent"
 	"rillflow/internal/failuredetector"
 	"rillflow/internal/ledger"
+	"rillflow/internal/retry"
 	"rillflow/internal/wire"
 )
 
@@ -108,7 +109,7 @@
 // may have been replaced it releases only instances on which a cancelled task would outlive
 // its time: that ends tasks, and can start none.
 func (m *failureMonitor) runReleases(ctx context.Context) error {
-	for sleep(ctx, m.monitorInterval()) {
+	for retry.Sleep(ctx, m.monitorInterval()) {
 		m.mu.Lock()
 		now := m.now()
 		leaseHeld := m.leadership.LeaseHeld(now)
--- a/internal/leader/orphans.go
+++ b/internal/leader/orphans.go
@@ -10,6 +10,7 @@
 	"rillflow/internal/dataloss"
 	"rillflow/internal/kvstore"
 	"rillflow/internal/ledger"
+	"rillflow/internal/retry"
 	"rillflow/internal/wire"
 )
 
@@ -56,7 +57,7 @@
 
 // resolveOrphans finds out which orphaned jobs have ended.
 func (o *orphanTracker) resolveOrphans(ctx context.Context) error {
-	for sleep(ctx, o.settings.HeartbeatInterval()/2) {
+	for retry.Sleep(ctx, o.settings.HeartbeatInterval()/2) {
 		o.mu.Lock()
 		unresolved := o.unresolvedJobs()
 		o.reserveForOrphans()
--- a/internal/leader/placementhold.go
+++ b/internal/leader/placementhold.go
@@ -7,6 +7,7 @@
 
 	"rillflow/internal/agent"
 	"rillflow/internal/ledger"
+	"rillflow/internal/retry"
 	"rillflow/internal/settings"
 	"rillflow/internal/wire"
 )
@@ -25,7 +26,7 @@
 		if reported {
 			return nil
 		}
-		if !sleep(ctx, r.settings.HeartbeatInterval()/4) {
+		if !retry.Sleep(ctx, r.settings.HeartbeatInterval()/4) {
 			return ctx.Err()
 		}
 	}
@@ -36,7 +37,7 @@
 // of the store: all workers that are up, or for a lease. A worker that has seen an epoch of it
 // ends the term at once.
 func (r *dataRecovery) awaitEarlierEpochs(ctx context.Context) error {
-	for sleep(ctx, r.settings.HeartbeatInterval()/2) {
+	for retry.Sleep(ctx, r.settings.HeartbeatInterval()/2) {
 		r.mu.Lock()
 		elapsed := r.now().Sub(r.startedAt)
 		done := elapsed > r.settings.WorkerLease() ||
--- a/internal/leader/recovery.go
+++ b/internal/leader/recovery.go
@@ -10,6 +10,7 @@
 	"rillflow/internal/dataloss"
 	"rillflow/internal/kvstore"
 	"rillflow/internal/recovery"
+	"rillflow/internal/retry"
 	"rillflow/internal/wire"
 )
 
@@ -105,7 +106,7 @@
 		allowance, err := r.writeAllowance(1, reserve)
 		var exhausted *budgetExhaustedError
 		if errors.As(err, &exhausted) {
-			if !sleep(ctx, exhausted.wait) {
+			if !retry.Sleep(ctx, exhausted.wait) {
 				return ctx.Err()
 			}
 			continue
--- a/internal/leader/replicafeeder.go
+++ b/internal/leader/replicafeeder.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"rillflow/internal/retry"
 )
 
 // pushesPerHeartbeat is how often in a heartbeat interval changes are sent to a follower.
@@ -34,7 +36,7 @@
 				delete(f.cancels, follower)
 			}
 		}
-		if !sleep(ctx, f.settings.HeartbeatInterval()/2) {
+		if !retry.Sleep(ctx, f.settings.HeartbeatInterval()/2) {
 			return ctx.Err()
 		}
 	}
--- a/internal/leader/scheduler.go
+++ b/internal/leader/scheduler.go
@@ -7,6 +7,7 @@
 	"rillflow/internal/agent"
 	"rillflow/internal/ledger"
 	"rillflow/internal/placement"
+	"rillflow/internal/retry"
 )
 
 // scheduler places waiting tasks on workers with free capacity.
@@ -56,7 +57,7 @@
 		}
 		for s.pass(ctx) {
 		}
-		if !sleep(ctx, s.settings.HeartbeatInterval()/passesPerHeartbeat) {
+		if !retry.Sleep(ctx, s.settings.HeartbeatInterval()/passesPerHeartbeat) {
 			return ctx.Err()
 		}
 	}
--- a/internal/leader/scope.go
+++ b/internal/leader/scope.go
@@ -68,18 +68,6 @@
 	}
 }
 
-// sleep waits, and reports false if ctx ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // termScope is what the components of a term share; each embeds a pointer to it. Its fields
 // are set when the term begins and do not change. clusterState and auditLog are guarded by
 // mu, everything else has its own guard or needs none.
--- a/internal/leader/shardkeeper.go
+++ b/internal/leader/shardkeeper.go
@@ -9,6 +9,7 @@
 	"rillflow/internal/agent"
 	"rillflow/internal/election"
 	"rillflow/internal/placement"
+	"rillflow/internal/retry"
 )
 
 // Shards are the controllers that share the workers among them, this one included.
@@ -61,7 +62,7 @@
 			k.mu.Unlock()
 		}
 		// At most once in a heartbeat interval: each makes every worker report.
-		if !sleep(ctx, k.settings.HeartbeatInterval()) {
+		if !retry.Sleep(ctx, k.settings.HeartbeatInterval()) {
 			return ctx.Err()
 		}
 	}
@@ -73,7 +74,7 @@
 // could have had one.
 func (k *shardKeeper) watchShardOwners(ctx context.Context) error {
 	refusedAt := k.startedAt
-	for sleep(ctx, k.monitorInterval()) {
+	for retry.Sleep(ctx, k.monitorInterval()) {
 		now := k.now()
 		known := k.elector.ShardMap()
 		if known.Epoch > k.leadership.Epoch() && known.Leader != k.settings.Name {
--- a/internal/leader/timing.go
+++ b/internal/leader/timing.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"rillflow/internal/agent"
-	"rillflow/internal/kvstore"
+	"rillflow/internal/retry"
 )
 
 // The time spans of a term are ratios to two settings of the platform: the interval in which
@@ -39,11 +39,11 @@
 
 // backOffRead waits before the store is asked once more, and reports false if ctx ended first.
 func (s *termScope) backOffRead(ctx context.Context, attempt int) bool {
-	return kvstore.Backoff(ctx, attempt, s.settings.HeartbeatInterval()/32, s.settings.HeartbeatInterval()/4)
+	return retry.Backoff(ctx, attempt, s.settings.HeartbeatInterval()/32, s.settings.HeartbeatInterval()/4)
 }
 
 // backOffWrite waits before a transaction is sent once more, and reports false if ctx ended
 // first. It begins with shorter waits than backOffRead: others wait for what is written.
 func (s *termScope) backOffWrite(ctx context.Context, attempt int) bool {
-	return kvstore.Backoff(ctx, attempt, s.settings.HeartbeatInterval()/64, s.settings.HeartbeatInterval()/4)
+	return retry.Backoff(ctx, attempt, s.settings.HeartbeatInterval()/64, s.settings.HeartbeatInterval()/4)
 }
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -68,15 +68,6 @@
 	return decisions
 }
 
-// ChunkKeys are the keys of the chunks that the batch writes.
-func (b *Batch) ChunkKeys() []string {
-	var keys []string
-	for _, write := range b.writes {
-		keys = append(keys, write.key())
-	}
-	return keys
-}
-
 // JobIDs are the jobs in the batch.
 func (b *Batch) JobIDs() []string {
 	var refs []string
--- a/internal/ledger/batch_test.go
+++ b/internal/ledger/batch_test.go
@@ -234,6 +234,18 @@
 	return limits
 }
 
+// addClaimedJobs adds jobs of one task each, whose claims are stored at revision 8.
+func addClaimedJobs(t *testing.T, table *Table, jobs int) {
+	t.Helper()
+	for i := range jobs {
+		job := table.AddJob(fmt.Sprint("req-", i), newJobRecord("b", wire.KindArray, 1, 1), 7)
+		if _, err := table.Claim(job, "h", 1, "x"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	table.BatchCommitted(table.NextBatch(batchLimits(16), now), 8)
+}
+
 // batchKeys are the keys that a batch writes, in order.
 func batchKeys(batch *Batch) string {
 	if batch == nil {
@@ -250,13 +262,7 @@
 // deferred an end takes two operations, and the chunk is deleted later, as it was stored.
 func TestEndsDoNotWaitForCleanup(t *testing.T) {
 	table := New("w", testTeams())
-	for i := range 3 {
-		job := table.AddJob(fmt.Sprint("req-", i), newJobRecord("b", wire.KindArray, 1, 1), 7)
-		if _, err := table.Claim(job, "h", 1, "x"); err != nil {
-			t.Fatal(err)
-		}
-	}
-	table.BatchCommitted(table.NextBatch(batchLimits(16), now), 8)
+	addClaimedJobs(t, table, 3)
 	for i := range 3 {
 		table.Finish(table.ClaimsOnWorker("h")[Task{fmt.Sprint("req-", i), 0}])
 	}
@@ -295,13 +301,7 @@
 // those that came later.
 func TestEndsAreWrittenOldestFirst(t *testing.T) {
 	table := New("w", testTeams())
-	for i := range 3 {
-		job := table.AddJob(fmt.Sprint("req-", i), newJobRecord("b", wire.KindArray, 1, 1), 7)
-		if _, err := table.Claim(job, "h", 1, "x"); err != nil {
-			t.Fatal(err)
-		}
-	}
-	table.BatchCommitted(table.NextBatch(batchLimits(16), now), 8)
+	addClaimedJobs(t, table, 3)
 	for i := range 3 {
 		table.Finish(table.ClaimsOnWorker("h")[Task{fmt.Sprint("req-", i), 0}])
 		table.BatchFailed(table.NextBatch(batchLimits(3), now.Add(time.Duration(i)*time.Second)))
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"rillflow/internal/kvstore"
+	"rillflow/internal/retry"
 )
 
 // Errors of a request to a peer.
@@ -69,7 +69,7 @@
 	for attempt := 0; ctx.Err() == nil; {
 		conn, err := link.connect(ctx)
 		if err != nil {
-			kvstore.Backoff(ctx, attempt, link.pingInterval, dialIntervals*link.pingInterval)
+			retry.Backoff(ctx, attempt, link.pingInterval, dialIntervals*link.pingInterval)
 			attempt++
 			continue
 		}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"rillflow/internal/kvstore"
+	"rillflow/internal/retry"
 	"rillflow/internal/settings"
 )
 
@@ -61,7 +61,7 @@
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
-			kvstore.Backoff(ctx, 0, mesh.pingInterval, mesh.pingInterval)
+			retry.Backoff(ctx, 0, mesh.pingInterval, mesh.pingInterval)
 			continue
 		}
 		group.Go(func() error { mesh.serve(ctx, conn); return nil })
--- a/internal/readindex/load.go
+++ b/internal/readindex/load.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"rillflow/internal/kvstore"
+	"rillflow/internal/retry"
 	"rillflow/internal/wire"
 )
 
@@ -66,6 +67,6 @@
 			"prefix", v.options.Prefix, "limit", v.options.MaxKeys)
 	}
 	if overflow {
-		pause(ctx, overflowPause*v.options.KeepAlive)
+		retry.Sleep(ctx, overflowPause*v.options.KeepAlive)
 	}
 }
--- a/internal/readindex/view.go
+++ b/internal/readindex/view.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"rillflow/internal/kvstore"
+	"rillflow/internal/retry"
 	"rillflow/internal/wire"
 )
 
@@ -142,7 +143,7 @@
 	defer keepAlive.Stop()
 	for attempt := 0; ctx.Err() == nil; {
 		if !v.loaded() && !v.load(ctx) {
-			kvstore.Backoff(ctx, attempt, v.options.Interval, v.options.KeepAlive)
+			retry.Backoff(ctx, attempt, v.options.Interval, v.options.KeepAlive)
 			attempt++
 			continue
 		}
@@ -153,21 +154,11 @@
 		case <-keepAlive.C:
 		}
 		v.runRound(ctx)
-		pause(ctx, v.options.Interval)
+		retry.Sleep(ctx, v.options.Interval)
 	}
 	return ctx.Err()
 }
 
-// pause waits for so long, or until ctx ends.
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // runRound brings the keys up to date and answers the reads that wait.
 func (v *View[Summary]) runRound(ctx context.Context) {
 	var current *round
--- a/internal/kvstore/backoff.go
+++ b/internal/retry/retry.go
@@ -1,4 +1,6 @@
-package kvstore
+// Package retry has the waits of loops that try again. It has no state, and must not decide whether
+// anything is tried again.
+package retry
 
 import (
 	"context"
@@ -13,7 +15,12 @@
 // limit. It returns false if ctx ends first.
 func Backoff(ctx context.Context, attempt int, base, limit time.Duration) bool {
 	delay := min(base<<min(attempt, maxDoublings), limit)
-	timer := time.NewTimer(time.Duration(rand.Int64N(int64(delay) + 1)))
+	return Sleep(ctx, time.Duration(rand.Int64N(int64(delay)+1)))
+}
+
+// Sleep waits for so long. It returns false if ctx ends first.
+func Sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/serve/routes.go
+++ b/internal/serve/routes.go
@@ -1,10 +1,9 @@
 package serve
 
 import (
-	"encoding/json"
 	"net/http"
-	"strconv"
 
+	"rillflow/internal/jsonhttp"
 	"rillflow/internal/wire"
 )
 
@@ -30,24 +29,9 @@
 		replyError(w, http.StatusServiceUnavailable, "cut off")
 		return
 	}
-	reply(w, http.StatusOK, struct{}{})
+	jsonhttp.Answer(w, http.StatusOK, struct{}{})
 }
 
 func replyError(w http.ResponseWriter, status int, reason string) {
-	reply(w, status, wire.ErrorResponse{Error: reason})
-}
-
-func reply(w http.ResponseWriter, status int, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		status, body = http.StatusInternalServerError, []byte("{}")
-	}
-	writeJSON(w, status, body)
-}
-
-func writeJSON(w http.ResponseWriter, status int, body []byte) {
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	w.Write(body)
+	jsonhttp.Answer(w, status, wire.ErrorResponse{Error: reason})
 }
--- a/internal/serve/status.go
+++ b/internal/serve/status.go
@@ -8,6 +8,7 @@
 	"rillflow/internal/dataloss"
 	"rillflow/internal/election"
 	"rillflow/internal/identity"
+	"rillflow/internal/jsonhttp"
 	"rillflow/internal/leader"
 	"rillflow/internal/peer"
 	"rillflow/internal/placement"
@@ -77,7 +78,7 @@
 	if !controller.authorizeOperator(w, r) {
 		return
 	}
-	reply(w, http.StatusOK, Status{
+	jsonhttp.Answer(w, http.StatusOK, Status{
 		Controller:         controller.settings.Name,
 		Version:            Version,
 		ShardMap:           controller.elector.ShardMap(),
--- a/internal/serve/users.go
+++ b/internal/serve/users.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"rillflow/internal/intake"
+	"rillflow/internal/jsonhttp"
 	"rillflow/internal/peer"
 )
 
@@ -42,7 +43,7 @@
 	if answer.RetryAfter != "" {
 		w.Header().Set("Retry-After", answer.RetryAfter)
 	}
-	writeJSON(w, answer.Status, answer.Body)
+	jsonhttp.AnswerBody(w, answer.Status, answer.Body)
 }
 
 // lookupTaskCounts tells a live job's counts of tasks: the leader has them.
--- a/internal/serve/workers.go
+++ b/internal/serve/workers.go
@@ -10,7 +10,8 @@
 
 	"rillflow/internal/agent"
 	"rillflow/internal/dataloss"
-	"rillflow/internal/kvstore"
+	"rillflow/internal/jsonhttp"
+	"rillflow/internal/retry"
 	"rillflow/internal/shard"
 	"rillflow/internal/wire"
 )
@@ -35,13 +36,13 @@
 	controller.observeEpoch(heartbeat.Epoch)
 	commands, err := controller.shard.Heartbeat(r.Context(), &heartbeat, controller.leader)
 	if err == nil {
-		reply(w, http.StatusOK, commands)
+		jsonhttp.Answer(w, http.StatusOK, commands)
 		return
 	}
 	var notOwner *shard.NotOwnerError
 	if errors.As(err, &notOwner) && notOwner.RedirectTarget != "" &&
 		notOwner.RedirectTarget != controller.settings.Name {
-		reply(w, http.StatusMisdirectedRequest, wire.Redirect{Controller: notOwner.RedirectTarget})
+		jsonhttp.Answer(w, http.StatusMisdirectedRequest, wire.Redirect{Controller: notOwner.RedirectTarget})
 		return
 	}
 	replyError(w, http.StatusServiceUnavailable, "not entitled")
@@ -77,7 +78,7 @@
 				controller.dataLoss.Suspect(fmt.Sprintf(
 					"workers have seen epoch %d, and %d is stored", epoch, stored.Epoch))
 			}
-			kvstore.Backoff(ctx, 0, delay, delay)
+			retry.Backoff(ctx, 0, delay, delay)
 		}
 	}
 }
