Leader: the last worker of its type is not released because tasks failed there

Cause, from the log: workers that fail tasks for a while are released at once.

Fix: a faulty worker stays, in quarantine, while no other of its instance type is up and well; quarantine tries it again once in a lease, as where most workers fail. In a large fleet nothing changes.

--- a/internal/leader/failures.go
+++ b/internal/leader/failures.go
@@ -173,7 +173,7 @@
 		return releaseSilent
 	case listed && instance.Phase == wire.InstanceStarting && len(claims) == 0 && neverUp(worker, instanceType, now):
 		return releaseNeverUp
-	case m.faults.workerFaulty(worker) && !m.faults.mostWorkersFaulty():
+	case m.faults.workerFaulty(worker) && !m.faults.mostWorkersFaulty() && !m.lastOfType(worker):
 		// Where a service runs it runs on; only new tasks fail.
 		if !m.runsService(claims, now) {
 			return releaseFailsTasks
@@ -182,6 +182,20 @@
 	return ""
 }
 
+// lastOfType tells whether no other worker of a worker's instance type is up and well. The cloud
+// need not have another, and there may be tasks that fit no other type: a last one that fails tasks
+// is tried again once in a lease instead of being released.
+func (m *failureMonitor) lastOfType(worker *agent.Worker) bool {
+	for _, other := range m.workers {
+		_, leaving := m.released[other.Name]
+		if other != worker && other.InstanceType == worker.InstanceType && !leaving &&
+			!other.LastHeartbeat.IsZero() && !m.faults.workerFaulty(other) {
+			return false
+		}
+	}
+	return true
+}
+
 // silentTooLong tells whether a worker that was up has been silent for longer than is waited
 // for: less where the cloud said that it would take the instance, for there is less to doubt.
 func (m *failureMonitor) silentTooLong(worker *agent.Worker, now time.Time) bool {
--- a/internal/leader/faults_test.go
+++ b/internal/leader/faults_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,3 +88,35 @@
 		})
 	}
 }
+
+// Guards against fleets that give their only large workers away because tasks failed there: the
+// cloud need not have another, and what fits nowhere else never runs.
+func TestLastOfItsTypeIsNotReleasedForFailures(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		types    [4]string // of the workers h0 to h3
+		failing  []string
+		released string
+	}{
+		{"one of several", [4]string{"m", "m", "m", "m"}, []string{"h0"}, "[h0]"},
+		{"the only one", [4]string{"large", "m", "m", "m"}, []string{"h0"}, "[]"},
+		{"the last one that is well", [4]string{"large", "large", "m", "m"}, []string{"h0", "h1"}, "[]"},
+		{"one while another is well", [4]string{"large", "large", "m", "m"}, []string{"h1"}, "[h1]"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			leader := newTestTerm(t)
+			for i, instanceType := range tc.types {
+				leader.workersByName[i].InstanceType = instanceType
+			}
+			for _, name := range tc.failing {
+				for i := range faultyFailures {
+					job := leader.addTestJob(fmt.Sprint("req-", name, i), wire.Job{TaskCount: 9})
+					leader.faults.countFailure(job, leader.workers[name], now)
+				}
+			}
+			if got := fmt.Sprint(leader.failures.faultyWorkers(now)); got != tc.released {
+				t.Errorf("released %s, want %s", got, tc.released)
+			}
+		})
+	}
+}
