Job API: ends that another controller told of no longer hold new submissions back

Cause: a controller forgot a waiting end only when it read the end record itself. Where the user was told by another controller the end counted as waiting for up to a lease more.

Fix: an end counts only while the job is live by the last round. TestEndTracker has the case; it failed before.

--- a/internal/intake/backpressure.go
+++ b/internal/intake/backpressure.go
@@ -38,7 +38,7 @@
 		replyRetryAfter(w, "memory is short", api.settings.HeartbeatInterval())
 		return true
 	}
-	delay := api.waitingEnds.longest(time.Now(), api.settings.WorkerLease())
+	delay := api.waitingEnds.longest(time.Now(), api.settings.WorkerLease(), api.liveJobs.Lacks)
 	if delay <= api.endDelayLimit() {
 		return false
 	}
--- a/internal/intake/backpressure_test.go
+++ b/internal/intake/backpressure_test.go
@@ -13,6 +13,8 @@
 	start := time.Now()
 	after := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
 	var tracker endTracker
+	ended := map[string]bool{}
+	hasEnded := func(id string) bool { return ended[id] }
 	for _, step := range []struct {
 		name string
 		do   func()
@@ -24,11 +26,13 @@
 		{"found again", func() { tracker.note("a", after(5)) }, 6, 5 * time.Second},
 		{"another", func() { tracker.note("b", after(6)); tracker.note("b", after(9)) }, 9, 5 * time.Second},
 		{"the first has ended", func() { tracker.forget("a") }, 10, 3 * time.Second},
+		{"a third", func() { tracker.note("c", after(1)); tracker.note("c", after(10)) }, 10, 9 * time.Second},
+		{"its user was told by another controller", func() { ended["c"] = true }, 11, 3 * time.Second},
 		{"nobody asks any more", func() {}, 30, 0},
 		{"asked again after that", func() { tracker.note("b", after(31)) }, 31, 0},
 	} {
 		step.do()
-		if got := tracker.longest(after(step.at), within); got != step.want {
+		if got := tracker.longest(after(step.at), within, hasEnded); got != step.want {
 			t.Errorf("%s: %v, want %v", step.name, got, step.want)
 		}
 	}
--- a/internal/intake/endtracker.go
+++ b/internal/intake/endtracker.go
@@ -43,13 +43,13 @@
 	delete(t.ends, id)
 }
 
-// longest is for how long an end has been found waiting. Jobs that nobody asked about within a
-// time are forgotten.
-func (t *endTracker) longest(now time.Time, within time.Duration) (longest time.Duration) {
+// longest is for how long an end has been found waiting. Jobs that have ended, as another controller
+// may have told their users, are forgotten, and those that nobody asked about within a time.
+func (t *endTracker) longest(now time.Time, within time.Duration, hasEnded func(id string) bool) (longest time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, end := range t.ends {
-		if now.Sub(end.last) > within {
+		if now.Sub(end.last) > within || hasEnded(id) {
 			delete(t.ends, id)
 			continue
 		}
--- a/internal/readindex/view.go
+++ b/internal/readindex/view.go
@@ -119,6 +119,15 @@
 	return summary, exists, nil
 }
 
+// Lacks reports whether a key was found missing by the last round, which may be as long ago as the
+// keep-alive interval. It is for what need not be exact; a view that is not loaded lacks nothing.
+func (v *View[Summary]) Lacks(name string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, exists := v.keys[name]
+	return v.keys != nil && !exists
+}
+
 // join returns the round that a read which begins now waits for, nil if the view is not loaded.
 func (v *View[Summary]) join() *round {
 	v.mu.Lock()
