--- a/internal/intake/endtracker.go
+++ b/internal/intake/endtracker.go
@@ -45,7 +45,9 @@
 
 // longest is for how long an end has been found waiting. Jobs that have ended, as another controller
 // may have told their users, are forgotten, and those that nobody asked about within a time.
-func (t *endTracker) longest(now time.Time, within time.Duration, hasEnded func(id string) bool) (longest time.Duration) {
+func (t *endTracker) longest(
+	now time.Time, within time.Duration, hasEnded func(id string) bool,
+) (longest time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, end := range t.ends {
