Leader: a look-up that the store refused is the first of the next round

Cause: a round that is refused goes on with the dependency after the refused one, which then waits for a whole circle, and for another if it is refused there as well.

Fix: what was refused is looked up first in the next round, and the circle goes on behind it.

Also a case for the view of live jobs: another incarnation of the store that has grown past the view; taking the check out had been found by no test.

--- a/internal/leader/dependencies.go
+++ b/internal/leader/dependencies.go
@@ -25,8 +25,9 @@
 	*termScope
 
 	// Only the loop uses what follows.
-	lastLookUp  string // the dependency that was looked up last
-	lastOverdue string // the job that was last logged as overdue
+	lastLookUp  string          // the dependency that was looked up last, but for repetitions
+	refused     map[string]bool // dependencies whose look-up the store refused in the last round
+	lastOverdue string          // the job that was last logged as overdue
 }
 
 // maxConcurrentLookups bounds the reads of end records in flight at once.
@@ -58,28 +59,57 @@
 }
 
 // lookUpEndings finds out how dependencies ended that the table does not know. A round that the
-// store refuses is left, and the next one goes on with the dependency after.
+// store refuses is left; the next one begins with what was refused, and goes on with the
+// dependency after.
 func (d *dependencies) lookUpEndings(ctx context.Context) {
 	d.mu.Lock()
-	jobIDs := d.jobs.UnresolvedDependencies()
+	unresolved := d.jobs.UnresolvedDependencies()
 	d.mu.Unlock()
+	isRefused := func(jobID string) bool { return d.refused[jobID] }
+	again := slices.DeleteFunc(slices.Clone(unresolved), func(jobID string) bool { return !isRefused(jobID) })
+	others := slices.DeleteFunc(startAfter(unresolved, d.lastLookUp), isRefused)
+	lookUps := d.lookUp(ctx, slices.Concat(again, others))
+	d.refused = make(map[string]bool)
+	for i, jobID := range again {
+		d.refused[jobID] = i >= len(lookUps) // it was not reached
+	}
+	for i, lookUp := range lookUps {
+		d.refused[lookUp.jobID] = lookUp.err != nil
+		if i >= len(again) {
+			d.lastLookUp = lookUp.jobID
+		}
+	}
+}
+
+// dependencyLookUp is what became of the look-up of a dependency.
+type dependencyLookUp struct {
+	jobID string
+	err   error // of a store that did not answer
+}
+
+// lookUp looks up dependencies, a few at a time, until the store refuses one: others need the
+// budget too. It returns the look-ups made, the first ones.
+func (d *dependencies) lookUp(ctx context.Context, jobIDs []string) []dependencyLookUp {
+	lookUps := make([]dependencyLookUp, 0, len(jobIDs)) // never grows: elements stay where they are
 	slots := make(chan struct{}, maxConcurrentLookups)
 	var wg sync.WaitGroup
 	var refused atomic.Bool
-	for _, jobID := range startAfter(jobIDs, d.lastLookUp) {
+	for _, jobID := range jobIDs {
 		slots <- struct{}{}
 		if refused.Load() {
-			break // the rest is for the next round: others need the budget too
+			break
 		}
-		d.lastLookUp = jobID
+		lookUps = append(lookUps, dependencyLookUp{jobID: jobID})
+		made := &lookUps[len(lookUps)-1]
 		wg.Go(func() {
 			defer func() { <-slots }()
-			if err := d.lookUpEnding(ctx, jobID); err != nil {
+			if made.err = d.lookUpEnding(ctx, made.jobID); made.err != nil {
 				refused.Store(true)
 			}
 		})
 	}
 	wg.Wait()
+	return lookUps
 }
 
 // startAfter returns sorted names in a circle that begins with the first one after another.
--- a/internal/readindex/view_test.go
+++ b/internal/readindex/view_test.go
@@ -116,6 +116,12 @@
 			c.List(context.Background(), testPrefix)
 		}, ErrUnavailable},
 		{"another incarnation of the data", nil, func(_ *fakeStore, c *kvstore.Client) { c.StartIncarnation() }, ErrUnavailable},
+		{"another incarnation that has grown past the view", nil, func(s *fakeStore, c *kvstore.Client) {
+			s.loseData(s.revision)
+			s.set("c", true)
+			c.StartIncarnation()
+			c.List(context.Background(), testPrefix)
+		}, ErrUnavailable},
 		{"the store lost data", nil, func(s *fakeStore, c *kvstore.Client) {
 			s.loseData(1)
 			c.List(context.Background(), testPrefix)
