--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/standins"
 mkdir -p ../../target
-CGO_ENABLED=0 GOFLAGS=-mod=mod GOPROXY=off go build -o ../../target/review-standins .
+CGO_ENABLED=0 GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local go build -buildvcs=false -o ../../target/review-standins .
--- a/review/standins/controllers.go
+++ b/review/standins/controllers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -137,14 +138,17 @@
 	return response.StatusCode == 200
 }
 
-// freeAddress returns a loopback address that is free now.
+// freeAddress returns a loopback address that is free now. Its port is below those that outgoing
+// connections are given, so that it is still free when a controller starts again.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", 15000+rand.Intn(15000))
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			listener.Close()
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 func listen() net.Listener {
--- a/review/standins/head.go
+++ b/review/standins/head.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// playHead: one-task jobs that only one machine may run come four a second for 24 s, and a quarter of
+// playHead: one-task jobs that only one machine may run come four a second for 23 s, and a quarter of
 // them are cancelled. A job of the same class that may run anywhere, submitted once that is over, must
 // not wait for 90 s while machines have room. Without the disruption they come once a second.
 func playHead(sc *scene) (string, error) {
-	const burst = 24 * time.Second
+	const burst = 23 * time.Second
 	interval := time.Second
 	if sc.trouble {
 		interval = 250 * time.Millisecond
@@ -19,7 +19,7 @@
 	n, left := 0, 0
 	for begun := time.Now(); time.Since(begun) < burst; <-ticker.C {
 		n++
-		bound := big(fmt.Sprintf("req-%06d", 1000+n), 1, time.Minute)
+		bound := big(fmt.Sprintf("req-%06d", 1000+n), 1, 100*time.Second)
 		bound.Cores, bound.RAM = 17, 34
 		if !sc.users.submit(bound) {
 			return "", fmt.Errorf("a job was not accepted")
