A job's exclusion from a worker on which it failed ends in time

Cause: ledger.Job.FailedOn kept each worker for good. candidate.allows and the offers to shard owners left these workers out; only a seventeenth failure on another worker cleared the map.

Change: a failure excludes the job from the worker for a worker lease, from the second trial on for two (the longest pause that a faulty job has already). The names stay as evidence against the job, the sixteen latest instead of none after the seventeenth. A repeated failure of a job does not count against a worker that has run another task since; otherwise a job with a mistake, which now comes back, would quarantine a healthy worker. "task failed" says for how long the job is excluded.

--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -62,7 +62,10 @@
 	StartBackoffUntil time.Time // no starts until then: it refused one for lack of resources
 	FailedJobs        []string  // jobs whose tasks failed here since the last success
 	LastFailure       time.Time // when a task of FailedJobs last failed
-	IdleSince         time.Time // since when no task is on it
+	// LastSuccessStartedAt is when the latest started of the tasks that succeeded here was first seen
+	// running.
+	LastSuccessStartedAt time.Time
+	IdleSince            time.Time // since when no task is on it
 
 	Wake chan struct{} // wakes the goroutine that sends commands to it
 }
--- a/internal/leader/candidate.go
+++ b/internal/leader/candidate.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"rillflow/internal/agent"
 	"rillflow/internal/ledger"
@@ -54,11 +55,14 @@
 	instanceType *wire.InstanceType
 	free         resources
 	reservedFor  *ledger.Job // the free capacity is reserved for this job until it fits
+	madeAt       time.Time
 }
 
 // newCandidate returns a candidate for a worker whose claims use the given resources.
-func newCandidate(worker *agent.Worker, instanceType *wire.InstanceType, used ledger.Resources) *candidate {
-	return &candidate{worker: worker, instanceType: instanceType, free: resources{
+func newCandidate(
+	worker *agent.Worker, instanceType *wire.InstanceType, used ledger.Resources, now time.Time,
+) *candidate {
+	return &candidate{worker: worker, instanceType: instanceType, madeAt: now, free: resources{
 		cpus:     instanceType.CPUs - used.CPUs,
 		gpus:     instanceType.GPUs - used.GPUs,
 		memoryGB: instanceType.MemoryGB - used.MemoryGB,
@@ -85,13 +89,13 @@
 }
 
 // allows reports whether a job may run on the worker: its constraints on spot instances, zone and
-// instance type hold, and it has not failed there before.
+// instance type hold, and it is not excluded from it because it failed there.
 func (c *candidate) allows(job *ledger.Job) bool {
 	spec := &job.Spec
 	return (spec.AllowSpot || !c.worker.Spot) &&
 		(spec.Zone == "" || spec.Zone == c.worker.Zone) &&
 		(len(spec.InstanceTypes) == 0 || slices.Contains(spec.InstanceTypes, c.worker.InstanceType)) &&
-		!job.FailedOn[c.worker.Name]
+		!job.ExcludedFrom(c.worker.Name, c.madeAt)
 }
 
 // pullSeconds returns how long the worker would take to pull the job's image.
--- a/internal/leader/faults.go
+++ b/internal/leader/faults.go
@@ -14,6 +14,7 @@
 	failsEverywhereWorkers = 3  // workers on which a job must fail to count as failing everywhere
 	maxRecordedFailures    = 16 // failed jobs recorded per worker, and workers per job
 	maxRetryDelayShift     = 6  // maximum doublings of the retry delay
+	maxExclusionLeases     = 2  // maximum exclusion of a job from a worker on which it failed, in worker leases
 )
 
 // faultTracker distinguishes workers that fail their tasks from jobs that fail on every worker.
@@ -27,22 +28,55 @@
 // workers without finishing a task is itself faulty, and its retry is delayed; a worker is faulty
 // when jobs fail there that do not fail elsewhere.
 func (f *faultTracker) countFailure(job *ledger.Job, worker *agent.Worker, now time.Time) {
-	if job.FailedOn == nil {
-		job.FailedOn = make(map[string]bool)
-	}
-	job.FailedOn[worker.Name] = true
 	job.ConsecutiveFailures++
-	if worker.LastFailure = now; len(worker.FailedJobs) < maxRecordedFailures {
-		worker.FailedJobs = append(worker.FailedJobs, job.ID)
+	if !provenHealthySince(worker, job.FailedOn[worker.Name]) {
+		f.countAgainstWorker(job, worker, now)
 	}
-	f.log.Info("task failed", "job", job.ID, "worker", worker.Name,
-		"job_failures", job.ConsecutiveFailures, "worker_failures", len(worker.FailedJobs))
+	excludedUntil := f.excludeFromWorker(job, worker, now)
+	f.log.Info("task failed", "job", job.ID, "worker", worker.Name, "job_failures", job.ConsecutiveFailures,
+		"worker_failures", len(worker.FailedJobs), "excluded_s", excludedUntil.Sub(now).Seconds())
 	if f.jobFaulty(job) {
 		job.RetryAt = now.Add(f.retryDelay(job.ConsecutiveFailures))
 	}
+}
+
+// provenHealthySince reports whether a worker has run a task successfully that started after a job's
+// earlier failures there. When the job fails there again, the job is the likelier cause.
+func provenHealthySince(worker *agent.Worker, earlier ledger.WorkerFailures) bool {
+	return earlier.Trials > 0 && worker.LastSuccessStartedAt.After(earlier.LastAt)
+}
+
+// countAgainstWorker counts a job's failure against the worker.
+func (f *faultTracker) countAgainstWorker(job *ledger.Job, worker *agent.Worker, now time.Time) {
+	worker.LastFailure = now
+	if len(worker.FailedJobs) < maxRecordedFailures {
+		worker.FailedJobs = append(worker.FailedJobs, job.ID)
+	}
+}
+
+// excludeFromWorker excludes a job from a worker on which it failed, and returns until when. The
+// exclusion is limited since the worker may recover, and no other may fit the job.
+func (f *faultTracker) excludeFromWorker(job *ledger.Job, worker *agent.Worker, now time.Time) time.Time {
+	failures := job.FailedOn[worker.Name]
+	if !job.ExcludedFrom(worker.Name, now) {
+		failures.Trials++
+	}
+	failures.LastAt = now
+	failures.ExcludedUntil = now.Add(f.exclusionTime(failures.Trials))
+	if job.FailedOn == nil {
+		job.FailedOn = make(map[string]ledger.WorkerFailures)
+	}
+	job.FailedOn[worker.Name] = failures
 	if len(job.FailedOn) > maxRecordedFailures {
-		clear(job.FailedOn)
+		job.ForgetOldestFailure()
 	}
+	return failures.ExcludedUntil
+}
+
+// exclusionTime returns for how long a job gets no tasks on a worker on which it failed in the given
+// number of trials.
+func (f *faultTracker) exclusionTime(trials int) time.Duration {
+	return time.Duration(min(trials, maxExclusionLeases)) * f.settings.WorkerLease()
 }
 
 // retryDelay returns how long a job waits after the given number of consecutive failures.
--- a/internal/leader/faults_test.go
+++ b/internal/leader/faults_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"rillflow/internal/agent"
 	"rillflow/internal/ledger"
 	"rillflow/internal/wire"
 )
@@ -92,6 +93,87 @@
 	}
 }
 
+// TestExclusionFromWorkerEnds guards against a job that never runs again because it failed once on
+// each worker that fits it: a worker that has recovered must be offered the job again.
+func TestExclusionFromWorkerEnds(t *testing.T) {
+	const lease = 30 * time.Second
+	for _, tc := range []struct {
+		name        string
+		failuresAgo []time.Duration
+		wantOffered bool
+	}{
+		{"just failed", []time.Duration{0}, false},
+		{"failed nearly a lease ago", []time.Duration{lease - time.Second}, false},
+		{"failed a lease ago", []time.Duration{lease}, true},
+		{"several tasks failed at once", []time.Duration{lease, lease, lease}, true},
+		{"the second trial failed a lease ago", []time.Duration{2 * lease, lease}, false},
+		{"the second trial failed two leases ago", []time.Duration{3 * lease, 2 * lease}, true},
+		{"the fifth trial failed two leases ago", []time.Duration{10 * lease, 8 * lease, 6 * lease, 4 * lease, 2 * lease}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			leader := newTestTerm(t)
+			job := leader.addTestJob("req-1", wire.Job{TaskCount: 9, CPUs: 1})
+			for _, ago := range tc.failuresAgo {
+				leader.faults.countFailure(job, leader.workers["h0"], now.Add(-ago))
+			}
+			candidates := leader.scheduler.candidates(now)
+			offered := false
+			for _, target := range candidates {
+				offered = offered || target.worker.Name == "h0" && target.fits(job)
+			}
+			excluded := leader.scheduler.offers.describeJob(job, newCandidateIndex(candidates), now).ExcludedWorkers
+			if offered != tc.wantOffered || (len(excluded) == 0) != tc.wantOffered {
+				t.Errorf("fits: %v, excluded workers %v; want fits %v", offered, excluded, tc.wantOffered)
+			}
+		})
+	}
+}
+
+// TestRetriesDoNotQuarantineHealthyWorker guards against a job with a mistake that takes a healthy
+// worker away from all others: it is tried there again and again, while tasks of others succeed.
+func TestRetriesDoNotQuarantineHealthyWorker(t *testing.T) {
+	for _, othersSucceed := range []bool{false, true} {
+		leader := newTestTerm(t)
+		leader.leadership = &fakeLeadership{}
+		mistaken := leader.addTestJob("req-1", wire.Job{TaskCount: 1})
+		worker := leader.workers["h0"]
+		for trial := range 4 {
+			failedAt := now.Add(time.Duration(trial) * 3 * time.Minute)
+			leader.faults.countFailure(mistaken, worker, failedAt)
+			if othersSucceed {
+				job := leader.addTestJob(fmt.Sprint("req-2", trial), wire.Job{Kind: wire.KindArray, TaskCount: 1})
+				claim, err := leader.jobs.Claim(job, worker.Name, worker.Incarnation, worker.Zone)
+				if err != nil {
+					t.Fatal(err)
+				}
+				claim.RunningSince = failedAt.Add(time.Minute)
+				leader.heartbeats.taskEnded(claim, worker, wire.ExitDone, failedAt.Add(2*time.Minute))
+			}
+		}
+		if got := leader.faults.workerFaulty(worker); got == othersSucceed {
+			t.Errorf("others succeed: %v; worker faulty: %v, want %v", othersSucceed, got, !othersSucceed)
+		}
+	}
+}
+
+// TestFailureRecordIsBounded checks that of more workers than are recorded the latest stay, so that
+// a job that fails everywhere is still known to be faulty.
+func TestFailureRecordIsBounded(t *testing.T) {
+	leader := newTestTerm(t)
+	job := leader.addTestJob("req-1", wire.Job{TaskCount: 9})
+	for i := range 2 * maxRecordedFailures {
+		worker := agent.NewWorker(fmt.Sprint("w", i))
+		leader.faults.countFailure(job, worker, now.Add(time.Duration(i)*time.Second))
+		if latest := job.FailedOn[worker.Name]; latest.Trials != 1 || len(job.FailedOn) > maxRecordedFailures {
+			t.Fatalf("after %d workers: latest %+v, %d recorded; want it recorded, at most %d in all",
+				i+1, latest, len(job.FailedOn), maxRecordedFailures)
+		}
+	}
+	if !leader.faults.jobFaulty(job) {
+		t.Error("the job is not faulty, want faulty")
+	}
+}
+
 // TestLastOfItsTypeIsNotReleasedForFailures guards against releasing the only large worker because
 // tasks failed there: the cloud may have no replacement, and tasks that fit no other worker would
 // never run.
--- a/internal/leader/gang_test.go
+++ b/internal/leader/gang_test.go
@@ -39,7 +39,7 @@
 				if worker.Name == tc.workerWithImage {
 					worker.Images = []agent.Image{{Name: "image"}}
 				}
-				candidates = append(candidates, newCandidate(worker, instanceType, ledger.Resources{}))
+				candidates = append(candidates, newCandidate(worker, instanceType, ledger.Resources{}, now))
 			}
 			jobTable := ledger.New("n.1", []settings.Team{{Name: "t", CPUsMax: 100}})
 			tc.spec.Team, tc.spec.Kind, tc.spec.Image, tc.spec.ImageGB = "t", wire.KindGang, "image", 1
--- a/internal/leader/offer.go
+++ b/internal/leader/offer.go
@@ -128,7 +128,7 @@
 		JobID: job.ID, Tasks: job.WaitingTasks(), Tier: o.ranking.tier(job), Age: now.Sub(job.WaitingSince),
 		CPUs: spec.CPUs, GPUs: spec.GPUs, MemoryGB: spec.MemoryGB, Image: spec.Image, ImageGB: spec.ImageGB,
 		Service: spec.Kind == wire.KindService, AllowSpot: spec.AllowSpot, InstanceTypes: spec.InstanceTypes,
-		ExcludedWorkers: slices.Sorted(maps.Keys(job.FailedOn)), StartWithinSeconds: o.ranking.startWithinSeconds(job),
+		ExcludedWorkers: job.ExcludedWorkers(now), StartWithinSeconds: o.ranking.startWithinSeconds(job),
 	}
 	if spec.AllowSpot && o.prefersOnDemand(job) {
 		// Offer at most as many tasks as fit half the free on-demand capacity. The rest is
--- a/internal/leader/scheduler.go
+++ b/internal/leader/scheduler.go
@@ -178,5 +178,5 @@
 	if instanceType == nil {
 		return nil
 	}
-	return newCandidate(worker, instanceType, s.jobs.UsedOnWorker(worker.Name))
+	return newCandidate(worker, instanceType, s.jobs.UsedOnWorker(worker.Name), now)
 }
--- a/internal/leader/taskevents.go
+++ b/internal/leader/taskevents.go
@@ -89,6 +89,9 @@
 		return
 	}
 	worker.FailedJobs = nil
+	if claim.RunningSince.After(worker.LastSuccessStartedAt) {
+		worker.LastSuccessStartedAt = claim.RunningSince
+	}
 	job.ConsecutiveFailures = 0
 	// Only tasks that were seen running are measured: a result kept from an earlier attempt is
 	// reported at once, which says nothing about the run time.
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -44,9 +44,9 @@
 	// exported fields below.
 	RetryAt time.Time
 	// ConsecutiveFailures counts failures since a task last ran successfully; FailedOn has the
-	// names of the workers on which a task failed.
+	// failures by the name of the worker on which a task failed.
 	ConsecutiveFailures int
-	FailedOn            map[string]bool
+	FailedOn            map[string]WorkerFailures
 	// RunSeconds is the run time of the job's finished tasks, as far as they were seen running.
 	RunSeconds Mean
 	// PlacementType is the job type that the placement rule uses.
--- a/internal/placement/offer.go
+++ b/internal/placement/offer.go
@@ -49,7 +49,7 @@
 	AllowSpot            bool
 	InstanceTypes        []string       // allowed; empty: any
 	ZoneSlots            map[string]int // number of further tasks allowed in each zone; nil: no limit
-	ExcludedWorkers      []string       // workers on which the job has failed
+	ExcludedWorkers      []string       // workers that the job is excluded from, because it failed there
 	StartWithinSeconds   float64        // time within which users want it started; 0: no objective
 	WarmZones            []string       // zones with a worker that has the image and free capacity
 }
--- a/internal/sim/placementfaults_test.go
+++ b/internal/sim/placementfaults_test.go
@@ -150,6 +150,27 @@
 	}
 }
 
+// Guards against a job that waits although the workers that fit it have recovered: each of them
+// failed its tasks for some seconds. Other jobs run there afterwards.
+func TestJobFailedOnAllFittingWorkers(t *testing.T) {
+	for _, maxInstances := range []int{1, 2} {
+		t.Run(fmt.Sprint(maxInstances, " workers of each type and zone"), func(t *testing.T) {
+			t.Parallel()
+			onlyInZoneA := func(_ int, job *wire.Job) { job.Zone, job.InstanceTypes = "a", []string{"m"} }
+			jobs := arrays(8, 1, 5*time.Second, onlyInZoneA)
+			keepsWorkers := array(20, 2*maxInstances, 200*time.Second)
+			onlyInZoneA(0, &keepsWorkers)
+			runFaultPlan(t, faultPlan{seed: 23, maxInstances: maxInstances, jobs: []wire.Job{keepsWorkers}, faults: func(m *scenario) {
+				m.world.submit(m.ctx, jobs[0], 0, 0)
+				m.injectWorkerFault(m.workerNames("a"), 8*time.Second, failTasks)
+				for i, job := range jobs[1:] {
+					m.world.submit(m.ctx, job, time.Duration(i)*15*time.Second, 0)
+				}
+			}})
+		})
+	}
+}
+
 // Guards against starvation of large jobs: small jobs keep arriving and need somewhat more
 // than the capacity, but the largest jobs must start within four minutes.
 func TestLargestJobsStart(t *testing.T) {
--- a/internal/sim/scenario_test.go
+++ b/internal/sim/scenario_test.go
@@ -204,6 +204,8 @@
 
 func pauseWorker(worker *fakeWorker, active bool) { worker.paused = active }
 
+func failTasks(worker *fakeWorker, active bool) { worker.failsTasks = active }
+
 func dropResponses(worker *fakeWorker, active bool) { worker.dropsResponses = active }
 
 func holdNextHeartbeat(worker *fakeWorker, active bool) { worker.holdsNextHeartbeat = active }
--- a/internal/sim/worker_test.go
+++ b/internal/sim/worker_test.go
@@ -44,6 +44,7 @@
 	holdsNextHeartbeat      bool      // the next heartbeat is held until deliverHeld
 	heldHeartbeat           []byte
 	paused                  bool // tasks make no progress, and end once the lease expires
+	failsTasks              bool // every task that starts fails at once
 }
 
 func (k *fakeWorker) heartbeat() wire.Heartbeat {
@@ -283,6 +284,10 @@
 	}
 	task.Phase = wire.TaskRunning
 	k.requestHeartbeat()
+	if k.failsTasks {
+		k.endTask(task, wire.ExitFailed)
+		return
+	}
 	if job.Kind == wire.KindArray {
 		if k.world.isTaskDone(id) { // an earlier attempt has stored the result
 			task.timer = time.AfterFunc(0, func() { k.completeTask(task, id) })
