Report dependents of a cancelled job as cancelled before the leader has stored it

Cause: intake.API.liveStatus answered from the job's own key alone. The leader cancels dependents by transactions of their own, which wait for as long as the store is out. Evidence: the leader knew of the cancellation at once (warning with age_s=21.4 during the outage) and cancelled the dependents 0.2 to 1.7 s after it ended; the wrong answers fall in between.

Change: a live job of which nothing has started is reported as cancelled once a job upstream of it, directly or through others, is stored as cancelled; it can end in no other way. Upstream jobs are looked up in the view of live jobs after the round of the poll; the end of one that is not live comes from the replica or is read once and kept. The answer depends on what is stored, not on what this controller remembers, so it is the same at all of them and after a restart, and is given once the cancellation upstream is acknowledged. If an end cannot be read the poll is answered 503.

--- a/internal/intake/api.go
+++ b/internal/intake/api.go
@@ -16,6 +16,8 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"rillflow/internal/access"
 	"rillflow/internal/fleet"
 	"rillflow/internal/identity"
@@ -68,6 +70,7 @@
 	polls            pollCounters
 	liveJobs         *readindex.View[liveJob]
 	waitingEnds      endTracker
+	endReads         singleflight.Group // of the jobs that polled ones depend on, by ID
 	refusals         refusalCounters
 }
 
--- a/internal/intake/livejobs.go
+++ b/internal/intake/livejobs.go
@@ -21,9 +21,10 @@
 
 // liveJob is the summary of a live job's record that the view holds.
 type liveJob struct {
-	team  string
-	tasks int
-	err   error // why the record cannot be decoded
+	team         string
+	tasks        int
+	dependencies *dependencyState // nil: it depends on no job
+	err          error            // why the record cannot be decoded
 }
 
 func newLiveJob(record []byte) liveJob {
@@ -31,7 +32,11 @@
 	if err != nil {
 		return liveJob{err: err}
 	}
-	return liveJob{team: decoded.Job.Team, tasks: decoded.Job.TaskCount}
+	job := liveJob{team: decoded.Job.Team, tasks: decoded.Job.TaskCount}
+	if len(decoded.Job.DependsOn) > 0 {
+		job.dependencies = &dependencyState{ids: decoded.Job.DependsOn}
+	}
+	return job
 }
 
 // liveJobsOptions returns the options of the view of live jobs.
@@ -54,13 +59,15 @@
 // is reported as not found only after both of its keys were read.
 func (api *API) read(ctx context.Context, id string, before replicaView) (jobState, error) {
 	job, isLive, err := api.liveJobs.Read(ctx, id)
+	var status jobState
+	if err == nil && isLive {
+		status, err = api.liveStatus(ctx, id, job, before, api.lookUpLiveInView)
+	}
 	switch {
 	case errors.Is(err, readindex.ErrUnavailable):
 		return api.readStored(ctx, id, before)
-	case err != nil:
-		return jobState{}, err
-	case isLive:
-		return api.liveStatus(ctx, id, job, before)
+	case err != nil, isLive:
+		return status, err
 	}
 	// A job only changes from live to ended.
 	ended, err := api.readEnd(withAdmittedPriority(ctx), id)
--- a/internal/intake/reply.go
+++ b/internal/intake/reply.go
@@ -64,19 +64,35 @@
 // tasks stop, so it is given only after all controllers that have to keep that promise have
 // acknowledged the cancellation; until then the response is 503.
 func (api *API) replyStatus(ctx context.Context, w http.ResponseWriter, job jobState) {
-	if job.Phase == wire.PhaseCancelled && !job.cancellationAcknowledged {
-		if err := api.broadcaster.Broadcast(ctx, job.ID); err != nil {
+	if job.Phase == wire.PhaseCancelled {
+		if err := api.acknowledgeCancellation(ctx, job); err != nil {
 			api.log.Info("cancelled, not yet acknowledged by all controllers", "job", job.ID, "err", err)
 			replyBusy(w, "withdrawn, to be known to all controllers")
 			return
 		}
-		job.cancellationAcknowledged = true
-		api.finished.put(job.ID, job)
 	}
 	api.log.Debug("status answered", "job", job.ID, "phase", job.Phase)
 	jsonhttp.Answer(w, http.StatusOK, job.JobStatus)
 }
 
+// acknowledgeCancellation returns nil once all controllers that have to keep the promise of a
+// cancellation have acknowledged it. A job with a cancelled one upstream has no tasks and needs
+// nothing but the acknowledgement of that one.
+func (api *API) acknowledgeCancellation(ctx context.Context, job jobState) error {
+	if job.upstream != nil {
+		job = *job.upstream
+	}
+	if job.cancellationAcknowledged {
+		return nil
+	}
+	if err := api.broadcaster.Broadcast(ctx, job.ID); err != nil {
+		return err
+	}
+	job.cancellationAcknowledged = true
+	api.finished.put(job.ID, job)
+	return nil
+}
+
 // replyRejected answers a submission that cannot be accepted. If the job exists, the response is
 // its status, whatever the faults of this submission.
 func (api *API) replyRejected(
--- a/internal/intake/status.go
+++ b/internal/intake/status.go
@@ -19,6 +19,9 @@
 	wire.JobStatus
 	team                     string
 	cancellationAcknowledged bool // by the controllers, so a user may be told of the cancellation
+	// upstream is the end of the cancelled job because of which this one is reported as cancelled
+	// while it is still stored as live; nil for any other job.
+	upstream *jobState
 }
 
 // poll answers with a job's status.
@@ -86,7 +89,7 @@
 func (api *API) readStored(ctx context.Context, id string, before replicaView) (jobState, error) {
 	item, err := api.store.GetByListing(ctx, ledger.LiveKey(id))
 	if err == nil {
-		return api.liveStatus(ctx, id, newLiveJob(item.Value), before)
+		return api.liveStatus(ctx, id, newLiveJob(item.Value), before, api.lookUpLiveInStore)
 	}
 	if !errors.Is(err, kvstore.ErrNotFound) {
 		return jobState{}, err
@@ -107,8 +110,11 @@
 	return api.remember(id, end), nil
 }
 
-// liveStatus returns the status of a job that was read as live.
-func (api *API) liveStatus(ctx context.Context, id string, live liveJob, before replicaView) (jobState, error) {
+// liveStatus returns the status of a job that was read as live. lookUp reads the jobs that it depends
+// on.
+func (api *API) liveStatus(
+	ctx context.Context, id string, live liveJob, before replicaView, lookUp liveLookup,
+) (jobState, error) {
 	if job, ok := api.finishedButStoredLive(id, before); ok {
 		return job, nil
 	}
@@ -124,7 +130,19 @@
 		}
 		job.team = live.team
 	}
-	if done, running, ok, _ := api.taskCounts(ctx, id); ok { // counts are only informative, so errors are ignored
+	done, running, ok, _ := api.taskCounts(ctx, id) // counts are only informative, so errors are ignored
+	if done == 0 && running == 0 {
+		// With any task started, all jobs that it depends on are known to be done.
+		upstream, err := api.cancelledUpstream(ctx, live, lookUp)
+		if err != nil {
+			return jobState{}, err
+		}
+		if upstream != nil {
+			job.Phase, job.Running, job.upstream = wire.PhaseCancelled, new(int), upstream
+			return job, nil
+		}
+	}
+	if ok {
 		job.Done, job.Running = &done, &running
 		if running > 0 {
 			job.Phase = wire.PhaseRunning
--- a/internal/readindex/view.go
+++ b/internal/readindex/view.go
@@ -123,6 +123,19 @@
 	return summary, exists, nil
 }
 
+// Latest returns whether a key exists as of the last round, and its summary. It is for callers that
+// have the answer of a Read: the state that Latest returns is at least as new. The error is
+// ErrUnavailable if the view has been reset since.
+func (v *View[Summary]) Latest(name string) (summary Summary, exists bool, err error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.keys == nil {
+		return summary, false, ErrUnavailable
+	}
+	summary, exists = v.keys[name]
+	return summary, exists, nil
+}
+
 // Lacks reports whether a key was missing as of the last round, which may be as old as the
 // keep-alive interval. It is for callers that tolerate stale answers. It returns false if the view
 // is not loaded.
--- a/internal/readindex/view_test.go
+++ b/internal/readindex/view_test.go
@@ -41,7 +41,7 @@
 	var readers sync.WaitGroup
 	answered := 0
 	for _, step := range steps {
-		name := fmt.Sprint(step >> 4 % names)
+		name, other := fmt.Sprint(step>>4%names), fmt.Sprint(step>>6%names)
 		time.Sleep(time.Duration(step>>8%16) * time.Millisecond)
 		if step%4 < 2 {
 			store.set(name, step%2 == 0)
@@ -56,6 +56,11 @@
 				return
 			}
 			answered++
+			latest, stillExists, err := view.Latest(other)
+			if err == nil && !store.wasInState(other, stillExists, readStart, time.Now()) {
+				violation = fmt.Sprintf("stale after a read: %s exists=%v (%v), read started at %v",
+					other, stillExists, latest, readStart.Sub(store.startedAt))
+			}
 			if !store.wasInState(name, exists, readStart, time.Now()) {
 				violation = fmt.Sprintf("stale answer: %s exists=%v, read started at %v, ended at %v",
 					name, exists, readStart.Sub(store.startedAt), time.Since(store.startedAt))
--- a/internal/sim/cancellationfaults_test.go
+++ b/internal/sim/cancellationfaults_test.go
@@ -119,6 +119,81 @@
 	}
 }
 
+// Guards against calling jobs queued that need, directly or through others, a job of whose
+// cancellation its user was told more than the cancel timeout ago. The store fails right after the
+// cancellation, so that the leader can cancel the dependents only after the outage.
+func TestDependentsCancelledAcrossOutage(t *testing.T) {
+	const dependents = 100
+	for _, tc := range []struct {
+		name         string
+		dependsOn    func(i int) string // the ID of the job that dependent i depends on
+		duringOutage func(m *scenario)
+	}{
+		{"direct dependents", func(int) string { return testJobID(0) }, nil},
+		{"chains of ten", func(i int) string {
+			if i%10 == 1 {
+				return testJobID(0)
+			}
+			return testJobID(i - 1)
+		}, nil},
+		{"a follower restarts", func(int) string { return testJobID(0) }, func(m *scenario) {
+			m.crashController((m.initialLeader+2)%controllerCount, time.Second)
+		}},
+		{"the leader restarts", func(int) string { return testJobID(0) }, func(m *scenario) {
+			m.crashController(m.initialLeader, time.Second)
+		}},
+		{"all controllers restart", func(int) string { return testJobID(0) }, func(m *scenario) {
+			m.restartControllers(time.Second, 0, 1, 2)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			jobs := arrays(dependents+1, 1, 300*time.Second, func(i int, job *wire.Job) {
+				if i > 0 {
+					job.DependsOn = []string{tc.dependsOn(i)}
+				}
+			})
+			runFaultPlan(t, faultPlan{seed: 31, jobs: jobs, recovery: 60 * time.Second, faults: func(m *scenario) {
+				m.store.refuseController(controllerName(m.initialLeader), true)
+				m.cancelRepeatedly((m.initialLeader+1)%controllerCount, time.Second, testJobID(0))
+				toldAt := time.Now()
+				time.Sleep(time.Second)
+				m.store.setOutage(true)
+				m.store.refuseController(controllerName(m.initialLeader), false)
+				if tc.duringOutage != nil {
+					tc.duringOutage(m)
+				}
+				time.Sleep(time.Until(toldAt.Add(cancelTimeout + 5*time.Second)))
+				m.store.setOutage(false)
+				m.checkCancelledFromNowOn(20*time.Second, testJobID(1), testJobID(10), testJobID(dependents/2), testJobID(dependents))
+			}})
+		})
+	}
+}
+
+// checkCancelledFromNowOn polls jobs at all controllers every 50 ms. No controller may call one of them
+// anything but cancelled, and in the end every controller must.
+func (m *scenario) checkCancelledFromNowOn(duration time.Duration, jobIDs ...string) {
+	var steps []func()
+	for controller := range m.world.clusterSize {
+		for _, jobID := range jobIDs {
+			steps = append(steps, func() {
+				phase := ""
+				for deadline := time.Now().Add(duration); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+					if _, phase = m.requestPhase(controller, "GET", "/v1/jobs/"+jobID, nil); phase != "" && phase != wire.PhaseCancelled {
+						m.Errorf("job %s is called %s by controller %d, want cancelled", jobID, phase, controller)
+						return
+					}
+				}
+				if phase != wire.PhaseCancelled {
+					m.Errorf("job %s is called %q by controller %d at the end, want cancelled", jobID, phase, controller)
+				}
+			})
+		}
+	}
+	concurrently(steps...)
+}
+
 // Guards against two final phases for one job. Without other faults, a cancellation, a
 // status read or a resubmission arrives shortly before or after the end of the job's last
 // task: every controller must report the same one of done and cancelled from then on,
