A page of end records makes progress whatever IDs are stored

Cause: storeReader.readEndRecordPage began after the wanted key with its last digit lowered, on the assumption that no ID sorts between the two. IDs have 1 to 40 digits, and those that continue the lowered one do. With a page full of them nothing wanted was read, and the next page began at the same key.

Change: the page begins after all IDs that continue the lowered one, and never before the last key read.

--- a/internal/leader/load_test.go
+++ b/internal/leader/load_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -15,6 +16,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
 
 	"rillflow/internal/election"
 	"rillflow/internal/kvstore"
@@ -34,10 +36,23 @@
 type fakeStore struct {
 	keys     []string
 	data     map[string][]byte
+	maxItems int // of a page; 0: pageItems
 	requests int
 	bytes    int
 }
 
+// newReader serves the store and returns a reader of it.
+func (s *fakeStore) newReader(t *testing.T) *storeReader {
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	var dialer net.Dialer
+	client := kvstore.New(kvstore.Options{
+		Addr: strings.TrimPrefix(server.URL, "http://"), RequestsPerSecond: 1e6,
+		Limits: kvstore.Limits{WritesPerSecond: 1e6}, Timeout: time.Minute, Dial: dialer.DialContext,
+	})
+	return &storeReader{&termScope{environment: &environment{store: client, settings: &settings.Settings{}}}}
+}
+
 func (s *fakeStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	prefix, after := query.Get("under"), query.Get("after")
@@ -45,7 +60,8 @@
 	size := 0
 	i, _ := slices.BinarySearch(s.keys, max(prefix, after+"\x00"))
 	for ; i < len(s.keys) && strings.HasPrefix(s.keys[i], prefix); i++ {
-		if size += len(s.data[s.keys[i]]); len(page.Items) == pageItems || size > pageBytes {
+		size += len(s.data[s.keys[i]])
+		if len(page.Items) == cmp.Or(s.maxItems, pageItems) || size > pageBytes {
 			page.More = true
 			break
 		}
@@ -158,14 +174,7 @@
 		store.data[ledger.EndedKey(jobID)] = []byte(fmt.Sprint(i))
 	}
 	store.keys = slices.Sorted(maps.Keys(store.data))
-	server := httptest.NewServer(store)
-	defer server.Close()
-	var dialer net.Dialer
-	client := kvstore.New(kvstore.Options{
-		Addr: strings.TrimPrefix(server.URL, "http://"), RequestsPerSecond: 1e6,
-		Limits: kvstore.Limits{WritesPerSecond: 1e6}, Timeout: time.Minute, Dial: dialer.DialContext,
-	})
-	reader := &storeReader{&termScope{environment: &environment{store: client, settings: &settings.Settings{}}}}
+	reader := store.newReader(t)
 	for _, tc := range []struct {
 		name     string
 		jobs     []string
@@ -195,3 +204,31 @@
 		})
 	}
 }
+
+// Guards against a leader that never finishes loading: where IDs continue one another with more
+// digits, a page of end records that begins too early may hold none of the wanted ones.
+func TestEndRecordsOfAnyIDsAreRead(t *testing.T) {
+	store := &fakeStore{maxItems: 3}
+	reader := store.newReader(t)
+	rapid.Check(t, func(t *rapid.T) {
+		id := rapid.StringMatching(`req-([019]{1,4}|[0-9]{1,40})`)
+		ended := rapid.SliceOfN(id, 1, 60).Draw(t, "ended")
+		wanted := rapid.SliceOfNDistinct(rapid.OneOf(rapid.SampledFrom(ended), id), 1, 20, rapid.ID).Draw(t, "wanted")
+		store.data = make(map[string][]byte)
+		for _, jobID := range ended {
+			store.data[ledger.EndedKey(jobID)] = []byte(fmt.Sprintf("%q", jobID))
+		}
+		store.keys, store.requests = slices.Sorted(maps.Keys(store.data)), 0
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		got, err := reader.readEndRecords(ctx, wanted)
+		if err != nil || store.requests > len(wanted) {
+			t.Fatalf("%d requests for %d jobs, error %v; want at most one for each job, no error", store.requests, len(wanted), err)
+		}
+		for _, jobID := range wanted {
+			if want := store.data[ledger.EndedKey(jobID)]; string(got[jobID]) != string(want) {
+				t.Errorf("%s: got end record %s, want %s", jobID, got[jobID], want)
+			}
+		}
+	})
+}
--- a/internal/leader/scrubber_test.go
+++ b/internal/leader/scrubber_test.go
@@ -5,7 +5,9 @@
 	"testing"
 
 	iradix "github.com/hashicorp/go-immutable-radix/v2"
+	"pgregory.net/rapid"
 
+	"rillflow/internal/ledger"
 	"rillflow/internal/wire"
 )
 
@@ -40,3 +42,27 @@
 		})
 	}
 }
+
+// Guards against keys that the comparison with the replica leaves out, or takes for lost, where job
+// IDs continue one another with more digits.
+func TestMissingKeysOfAnyIDs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		key := rapid.Map(rapid.StringMatching(`req-([019]{1,4}|[0-9]{1,40})`), ledger.EndedKey)
+		replicated := rapid.SliceOfNDistinct(key, 1, 40, rapid.ID).Draw(t, "replicated")
+		bounds := rapid.SliceOfN(key, 2, 2).Draw(t, "bounds")
+		slices.Sort(bounds)
+		txn := iradix.New[[]byte]().Txn()
+		var want []string
+		for _, key := range replicated {
+			txn.Insert([]byte(key), nil)
+			if key > bounds[0] && key <= bounds[1] {
+				want = append(want, key)
+			}
+		}
+		slices.Sort(want)
+		page := scrubPage{prefix: ledger.EndedPrefix, after: bounds[0], last: bounds[1]}
+		if got := page.missingKeys(txn.Commit()); !slices.Equal(got, want) {
+			t.Errorf("page after %s up to %s: got missing keys %v, want %v", bounds[0], bounds[1], got, want)
+		}
+	})
+}
--- a/internal/leader/storereader.go
+++ b/internal/leader/storereader.go
@@ -72,8 +72,9 @@
 func (r *storeReader) readEndRecords(ctx context.Context, jobIDs []string) (map[string][]byte, error) {
 	wanted := slices.Sorted(slices.Values(jobIDs))
 	endRecords := make(map[string][]byte, len(wanted))
+	last := "" // the last key read; every page begins after it
 	for len(wanted) > 0 {
-		page, err := r.readEndRecordPage(ctx, wanted[0])
+		page, err := r.readEndRecordPage(ctx, max(last, keyBefore(ledger.EndedKey(wanted[0]))))
 		if err != nil {
 			return nil, err
 		}
@@ -86,20 +87,27 @@
 				endRecords[wanted[at]] = item.Value
 			}
 		}
-		last := page[len(page)-1].Key
+		last = page[len(page)-1].Key
 		wanted = slices.DeleteFunc(wanted, func(jobID string) bool { return ledger.EndedKey(jobID) <= last })
 	}
 	return endRecords, nil
 }
 
-// readEndRecordPage reads a page of end records that begins with the given job's, or the next one.
-func (r *storeReader) readEndRecordPage(ctx context.Context, jobID string) (page []wire.KeyValue, err error) {
-	key := []byte(ledger.EndedKey(jobID))
-	key[len(key)-1]-- // pages begin after a key; IDs end with digits, so none sorts between the two
+// keyBefore returns a string that sorts before the key of a job, and between which and that key no
+// key of another job sorts. That includes IDs that continue a smaller one with more digits, such as
+// req-0004121 before req-000413.
+func keyBefore(key string) string {
+	const afterDigits = ":" // sorts after all digits
+	lastIndex := len(key) - 1
+	return key[:lastIndex] + string(key[lastIndex]-1) + afterDigits
+}
+
+// readEndRecordPage reads a page of the end records that come after a key.
+func (r *storeReader) readEndRecordPage(ctx context.Context, after string) (page []wire.KeyValue, err error) {
 	succeeded := func(err error) bool { return err == nil }
 	err = r.retry(ctx, succeeded, func() error {
 		var err error
-		page, _, err = r.store.Page(ctx, ledger.EndedPrefix, string(key), endRecordPageSize)
+		page, _, err = r.store.Page(ctx, ledger.EndedPrefix, after, endRecordPageSize)
 		return err
 	})
 	return page, err
