Offer jobs that fit a worker, however many that fit none stand before them

Cause: an offer to the shard owners holds 64 jobs of a type, and offerMaker.workToOffer took the first 64 in scheduling order, whether or not they fit a worker with room.

Change: waiting jobs are grouped by what they need when the queues are ordered. Room is looked up once a group, among candidates grouped by type, zone and kind; a group without room, or of a team at its limit, is not looked at further. What differs within a group (zones ruled out by claims, workers on which the job failed, reservations) is checked job by job. Only jobs that pass count towards the 64.

--- a/internal/leader/candidate.go
+++ b/internal/leader/candidate.go
@@ -37,6 +37,11 @@
 	return count
 }
 
+// max returns the greater of r and other for each resource.
+func (r resources) max(other resources) resources {
+	return resources{max(r.cpus, other.cpus), max(r.gpus, other.gpus), max(r.memoryGB, other.memoryGB)}
+}
+
 // plus returns r plus the resources of one task of the job.
 func (r resources) plus(spec *wire.Job) resources {
 	return resources{r.cpus + spec.CPUs, r.gpus + spec.GPUs, r.memoryGB + spec.MemoryGB}
@@ -91,11 +96,14 @@
 // allows reports whether a job may run on the worker: its constraints on spot instances, zone and
 // instance type hold, and it is not excluded from it because it failed there.
 func (c *candidate) allows(job *ledger.Job) bool {
-	spec := &job.Spec
+	return c.allowsSpec(&job.Spec) && !job.ExcludedFrom(c.worker.Name, c.madeAt)
+}
+
+// allowsSpec reports whether a job's constraints on spot instances, zone and instance type hold.
+func (c *candidate) allowsSpec(spec *wire.Job) bool {
 	return (spec.AllowSpot || !c.worker.Spot) &&
 		(spec.Zone == "" || spec.Zone == c.worker.Zone) &&
-		(len(spec.InstanceTypes) == 0 || slices.Contains(spec.InstanceTypes, c.worker.InstanceType)) &&
-		!job.ExcludedFrom(c.worker.Name, c.madeAt)
+		(len(spec.InstanceTypes) == 0 || slices.Contains(spec.InstanceTypes, c.worker.InstanceType))
 }
 
 // pullSeconds returns how long the worker would take to pull the job's image.
--- a/internal/leader/offer.go
+++ b/internal/leader/offer.go
@@ -12,7 +12,8 @@
 	"rillflow/internal/wire"
 )
 
-// maxOfferedJobs limits the jobs per type in one offer; the rest follow once these are placed.
+// maxOfferedJobs limits the jobs per type in one offer. Only jobs that fit a worker with room count;
+// the rest follow once these are placed.
 const maxOfferedJobs = 64
 
 // pickTimeoutDivisor determines how long shard owners have to pick: the heartbeat interval divided by
@@ -59,20 +60,23 @@
 	return offers
 }
 
-// workToOffer collects the jobs that have tasks for shard owners to place.
+// workToOffer collects the jobs that have tasks for shard owners to place, and that fit a worker with
+// room. It looks at no job of a group that fits none, however many there are.
 func (o *offerMaker) workToOffer(queues []*typeQueue, index *candidateIndex, now time.Time) offeredWork {
 	var work offeredWork
+	room := newRoomIndex(index.candidates)
 	for _, queue := range queues {
 		offeredQueue := placement.Queue{Type: queue.jobType, Unfinished: queue.unfinished}
-		for _, job := range queue.jobs {
-			if len(offeredQueue.Jobs) == maxOfferedJobs {
-				break
+		mergeCursors(queue, o.groupsWithRoom(queue, room), func(job *ledger.Job, targets []*candidate) bool {
+			if !o.anyTakes(targets, job) {
+				return true
 			}
 			if waiting := o.describeJob(job, index, now); waiting.Tasks > 0 {
 				offeredQueue.Jobs = append(offeredQueue.Jobs, waiting)
 				work.add(job)
 			}
-		}
+			return len(offeredQueue.Jobs) < maxOfferedJobs
+		})
 		if len(offeredQueue.Jobs) > 0 {
 			work.queues = append(work.queues, offeredQueue)
 		}
@@ -80,6 +84,32 @@
 	return work
 }
 
+// groupsWithRoom returns the groups of a queue whose tasks fit a worker and whose team is below its
+// limit. It leaves out gangs, which the leader places itself.
+func (o *offerMaker) groupsWithRoom(queue *typeQueue, room *roomIndex) []*needsCursor {
+	var cursors []*needsCursor
+	for _, group := range queue.groups {
+		head := queue.jobs[group.positions[0]]
+		if head.IsGang() || o.jobs.QuotaHeadroom(head) <= 0 {
+			continue
+		}
+		if targets := room.withRoom(&head.Spec); len(targets) > 0 {
+			cursors = append(cursors, &needsCursor{positions: group.positions, targets: targets})
+		}
+	}
+	return cursors
+}
+
+// anyTakes reports whether any of the candidates, which a job's tasks fit, may take one: the job is not
+// excluded from it, the zone is allowed, and the candidate is not reserved for another job.
+func (o *offerMaker) anyTakes(targets []*candidate, job *ledger.Job) bool {
+	return slices.ContainsFunc(targets, func(target *candidate) bool {
+		isReserved := target.reservedFor != nil && target.reservedFor != job &&
+			o.ranking.tier(job) >= o.ranking.tier(target.reservedFor)
+		return !isReserved && target.allows(job) && o.jobs.CheckClaim(job, target.worker.Zone) == nil
+	})
+}
+
 // add adds a job to the offered jobs. Its description is added to a queue separately.
 func (w *offeredWork) add(job *ledger.Job) {
 	if len(w.jobs) == 0 {
--- a/internal/leader/queue.go
+++ b/internal/leader/queue.go
@@ -13,6 +13,7 @@
 	jobType    string
 	unfinished int // unfinished tasks of the type, waiting and running
 	jobs       []*ledger.Job
+	groups     []*needsGroup // the jobs by what they need
 }
 
 // waitingQueues returns the queues of the types that have waiting jobs, sorted by type.
@@ -41,6 +42,7 @@
 			continue
 		}
 		s.ranking.orderJobs(queue.jobs, now)
+		queue.groups = groupByNeeds(queue.jobs)
 		queues = append(queues, queue)
 	}
 	slices.SortFunc(queues, func(a, b *typeQueue) int { return cmp.Compare(a.jobType, b.jobType) })
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -51,6 +51,8 @@
 	RunSeconds Mean
 	// PlacementType is the job type that the placement rule uses.
 	PlacementType string
+	// PlacementNeeds is equal for jobs whose tasks fit the same workers. The caller sets it.
+	PlacementNeeds string
 	// NextPreemptionAt is when tasks of other jobs may next be stopped for this one.
 	NextPreemptionAt time.Time
 
