Count tasks that only some instances can run against these alone

Cause: the planner compared the cores of all work with the cores of all instances, whatever the type, in the cost-saving pass as in the one that scales ahead. The small instances that ran services had cores enough. Tasks too large for the instances that are up, and tasks that may run on spot but in one zone only, met the same.

Change: tasks that not every offering can serve are counted against the instances of the offerings that can, of each team up to its limit. What is missing is requested there, in both passes; the cost-saving pass neither releases nor drains an instance that such tasks need.

--- a/internal/fleet/ahead.go
+++ b/internal/fleet/ahead.go
@@ -9,9 +9,10 @@
 // runAhead plans capacity ahead of demand: it requests instances up to the quota limits of the
 // teams, and releases instances only once there is no work at all.
 func (p *pass) runAhead() Plan {
+	p.plan.ReuseDrained = true
 	p.scaleOutAhead()
+	p.scaleOutConstrained(p.constrainedSupplies(1))
 	p.plan.Drain = p.blockedByReplicas()
-	p.plan.ReuseDrained = true
 	if len(p.demand.TaskShapes) == 0 {
 		p.releaseIdle()
 	}
--- a/internal/fleet/costsaving.go
+++ b/internal/fleet/costsaving.go
@@ -37,6 +37,7 @@
 	drainingInstances int
 	onDemandByZone    map[string]float64 // cores
 	freeForReplicas   zoneCores          // on-demand cores not taken by replicas
+	supplies          []*constrainedSupply
 }
 
 // newCostSavingPass returns a pass with the required cores for the demand.
@@ -45,6 +46,10 @@
 	planner.smooth(demand, current.now)
 	spare := 1 + planner.settings.Operator.Fleet.SpareCapacity
 	neededSpotCores := max(demand.UrgentCores, planner.smoothedSpotCores) * spare
+	neededSpotShare := 0.0
+	if demand.SpotCores > 0 {
+		neededSpotShare = min(1, neededSpotCores/demand.SpotCores)
+	}
 	return &costSavingPass{
 		pass: current,
 		neededOnDemandCores: demand.OnDemandCores +
@@ -53,14 +58,16 @@
 		scaleInMarginCores: spare * neededSpotCores,
 		onDemandByZone:     make(map[string]float64),
 		freeForReplicas:    make(zoneCores),
+		supplies:           current.constrainedSupplies(neededSpotShare),
 	}
 }
 
-// run plans in this order: requests for work bound to a zone, cancelled drains, requests for other
-// missing capacity and, only if none is missing, instances to release and drain.
+// run plans in this order: requests for work that only some offerings can serve, cancelled drains,
+// requests for other missing capacity and, only if none is missing, instances to release and drain.
 func (c *costSavingPass) run() Plan {
 	c.countCapacity()
 	c.scaleOutZoneBound()
+	c.scaleOutConstrained(c.supplies)
 	availableCores := c.spotCores + max(0, c.onDemandCores-c.neededOnDemandCores) // for work that may run on spot
 	if (c.onDemandCores < c.neededOnDemandCores || availableCores < c.neededSpotCores) && c.drainingCores > 0 {
 		c.plan.CancelDrains = true // draining instances are usable at once, new ones have to boot
@@ -175,6 +182,11 @@
 		if c.mustKeep(instance, instanceType.CPUs) || !idle && !c.drainable(instance, drainLimit) {
 			continue
 		}
+		for _, supply := range c.supplies {
+			if supply.includes(instance) {
+				supply.cores -= instanceType.CPUs
+			}
+		}
 		if instance.Spot {
 			c.spotCores -= instanceType.CPUs
 		} else {
@@ -204,11 +216,16 @@
 }
 
 // mustKeep reports whether the capacity without an instance would be too small: in total, on-demand,
-// in a second zone, or for the replicas of a lost zone.
+// in a second zone, for the replicas of a lost zone, or for tasks that only some offerings can serve.
 func (c *costSavingPass) mustKeep(instance Instance, cores float64) bool {
 	if c.onDemandCores+c.spotCores-cores < c.neededOnDemandCores+c.scaleInMarginCores {
 		return true
 	}
+	for _, supply := range c.supplies {
+		if supply.includes(instance) && supply.cores-cores < supply.neededCores {
+			return true
+		}
+	}
 	if instance.Spot {
 		return false
 	}
--- a/internal/fleet/costsaving_test.go
+++ b/internal/fleet/costsaving_test.go
@@ -165,6 +165,51 @@
 	}
 }
 
+// Guards against tasks that wait for good because cores that cannot run them count as their supply.
+func TestConstrainedTasksHaveTheirOwnSupply(t *testing.T) {
+	large := TaskShape{Cores: 8, MemoryGB: 8, SpotAllowed: true, Team: "t", Weight: 8}
+	typeBound := TaskShape{Cores: 1, InstanceTypes: []string{"l"}, Team: "t", Weight: 1}
+	zoneBound := TaskShape{Cores: 1, Zone: "b", SpotAllowed: true, Team: "t", Weight: 1}
+	with := func(weight float64, shape TaskShape) Demand {
+		shape.Weight = weight
+		demand := Demand{TaskShapes: []TaskShape{arrayShape, shape}, TeamLimits: map[string]float64{"t": 24}}
+		if demand.OnDemandCores = weight; shape.SpotAllowed {
+			demand.OnDemandCores, demand.SpotCores, demand.UrgentCores = 0, weight, weight
+		}
+		return demand
+	}
+	plenty := []Instance{
+		{InstanceType: "s", Zone: "a"}, {InstanceType: "s", Zone: "a"}, {InstanceType: "s", Zone: "a"},
+		{InstanceType: "s", Zone: "a", Spot: true}, {InstanceType: "s", Zone: "a", Spot: true},
+	}
+	in := func(instances ...Instance) []Instance { return append(instances, plenty...) }
+	for _, tc := range []costSavingCase{
+		{"too large for the instances that are up", plenty, with(8, large), "l a spot", 1, nil},
+		{"bound to a type of which none is up", plenty, with(1, typeBound), "l a on-demand", 1, nil},
+		{"bound to a zone in which none is up", plenty, with(1, zoneBound), "s b spot", 1, nil},
+		{"an instance that fits is up", in(Instance{InstanceType: "l", Zone: "a"}), with(1, typeBound), "", 0, nil},
+		{"a spot instance is no supply for tasks that may not run there",
+			in(Instance{InstanceType: "l", Zone: "a", Spot: true}), with(1, typeBound), "l a on-demand", 1, nil},
+		{"an instance that is released is no supply",
+			in(Instance{InstanceType: "l", Zone: "a", Releasing: true}), with(1, typeBound), "l a on-demand", 1, nil},
+		{"a draining instance is used again", in(Instance{InstanceType: "l", Zone: "a", Draining: true}),
+			with(1, typeBound), "", 0, nil},
+		{"no more than the team's limit", plenty, with(80, large), "l a spot", 2, nil},
+		{"the last instance that fits is kept", in(idleInstance("x", "l", "a")), with(1, typeBound), "", 0, nil},
+		{"one that no task needs is released", in(idleInstance("x", "l", "a")), Demand{}, "", 0, []string{"x"}},
+	} {
+		t.Run(tc.name, tc.run)
+	}
+	t.Run("scaled ahead of demand", func(t *testing.T) {
+		demand := with(1, typeBound)
+		demand.ScaleAheadCores = 16
+		plan := newTestPlanner(t, "never").Plan(testInstanceTypes(), plenty, demand, now)
+		if len(plan.ScaleOut) != 1 || plan.ScaleOut[0].InstanceType != "l" || plan.ScaleOut[0].Spot {
+			t.Errorf("got requests %+v, want one for an on-demand instance of type l", plan.ScaleOut)
+		}
+	})
+}
+
 // Guards against needless spare capacity: the demand of many services varies less than that of a few.
 func TestSpareShareFallsWithManyJobs(t *testing.T) {
 	operator, err := settings.ParseOperator([]byte("<rillflow><fleet><spare>0.2</spare></fleet></rillflow>"))
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -25,13 +25,16 @@
 	ScaleAheadCores     float64            // quota limits of the teams for which instances are requested ahead
 	TaskShapes          []TaskShape        // shapes of all unfinished tasks
 	WaitingShapes       []TaskShape        // shapes of tasks that may run on spot instances and wait within quota
+	TeamLimits          map[string]float64 // quota limits of the teams of TaskShapes
 }
 
 // TaskShape is the resources that a task takes and the instances that it may run on.
 type TaskShape struct {
 	Cores, GPUs, MemoryGB float64
 	InstanceTypes         []string // types it may run on; empty: any
+	Zone                  string   // the only zone that it may run in; empty: any
 	SpotAllowed           bool
+	Team                  string
 	Weight                float64 // total cores of the unfinished tasks of this shape
 }
 
--- a/internal/leader/demand.go
+++ b/internal/leader/demand.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"fmt"
 	"time"
 
 	"rillflow/internal/agent"
@@ -70,7 +69,10 @@
 // demand sums up the demand of all unfinished jobs, without the tasks on unreachable workers.
 func (a *autoscaler) demand(instances []fleet.Instance, now time.Time) fleet.Demand {
 	sum := &demandSum{
-		Demand:      fleet.Demand{ZoneBoundCores: make(map[string]float64), FailoverCores: make(map[string]float64)},
+		Demand: fleet.Demand{
+			ZoneBoundCores: make(map[string]float64), FailoverCores: make(map[string]float64),
+			TeamLimits: make(map[string]float64),
+		},
 		spotCores:   make(map[string]float64),
 		urgentCores: make(map[string]float64),
 		shapeIndex:  make(map[string]int), waitingShapes: make(map[int]bool),
@@ -86,6 +88,7 @@
 		a.addJobDemand(sum, job, cores, zones, now)
 		waiting := job.Spec.AllowSpot && min(job.WaitingTasks(), a.jobs.QuotaHeadroom(job)) > 0
 		sum.addShape(&job.Spec, cores, waiting)
+		sum.TeamLimits[job.Spec.Team] = a.jobs.Team(job.Spec.Team).CPUsMax
 	}
 	for team := range a.scaledAheadTeams {
 		sum.ScaleAheadCores += a.jobs.Team(team).CPUsMax
@@ -149,14 +152,14 @@
 
 // addShape adds a job's tasks to the task shapes, and to the waiting shapes if waiting is set.
 func (s *demandSum) addShape(spec *wire.Job, cores float64, waiting bool) {
-	key := fmt.Sprint(spec.CPUs, spec.GPUs, spec.MemoryGB, spec.InstanceTypes, spec.Zone, spec.AllowSpot)
+	key := needsOf(spec)
 	index, ok := s.shapeIndex[key]
 	if !ok {
 		index = len(s.TaskShapes)
 		s.shapeIndex[key] = index
 		s.TaskShapes = append(s.TaskShapes, fleet.TaskShape{
 			Cores: spec.CPUs, GPUs: spec.GPUs, MemoryGB: spec.MemoryGB,
-			InstanceTypes: spec.InstanceTypes, SpotAllowed: spec.AllowSpot,
+			InstanceTypes: spec.InstanceTypes, Zone: spec.Zone, SpotAllowed: spec.AllowSpot, Team: spec.Team,
 		})
 	}
 	s.TaskShapes[index].Weight += cores
