Bound messages to workers by the protocol's 64 KiB

Direct commands had no bound either.

Cause: agent.Worker.Commands returned all commands that are due, and shard owners added the stops of cancelled jobs to them.

Change: a message has as many commands as fit, starts left out first. The rest follows in later messages, since commands are derived from what the worker reports. A claim counts as started only once its start is in a message. The shard owner fits the batch again after adding to it.

--- a/internal/agent/commands.go
+++ b/internal/agent/commands.go
@@ -8,23 +8,29 @@
 )
 
 // Commands returns the commands that make a worker's tasks match the claims on it, given its last
-// reported state. Stops come first, so that the starts find the resources free. Each claim whose
-// start is among the commands is marked as StartSent.
+// reported state, as many as fit a message. Stops come first, so that the starts find the resources
+// free. Each claim whose start is among the commands is marked as StartSent.
 //
 // A worker is told to forget an ended task only in the answer to a heartbeat: it has at most one
 // heartbeat in flight, so a start from an earlier answer cannot arrive after the forget.
 func (w *Worker) Commands(
 	claims map[ledger.Task]*ledger.Claim, epoch uint64, inHeartbeatAnswer bool,
 ) []wire.Command {
-	stops, starts := w.claimedCommands(claims, epoch)
+	stops, starts, startedClaims := w.claimedCommands(claims)
 	unclaimedStops, forgets := w.unclaimedCommands(claims, inHeartbeatAnswer)
-	return slices.Concat(stops, unclaimedStops, forgets, starts)
+	all := slices.Concat(stops, unclaimedStops, forgets, starts)
+	commands := FitBatch(wire.CommandBatch{Epoch: epoch, Incarnation: w.Incarnation, Commands: all}).Commands
+	includedStarts := max(0, len(commands)-(len(all)-len(starts))) // starts are left out first
+	for _, claim := range startedClaims[:includedStarts] {
+		claim.StartSent, claim.StartEpoch = true, epoch
+	}
+	return commands
 }
 
-// claimedCommands returns the commands for the claims on the worker.
+// claimedCommands returns the commands for the claims on the worker, and the claims of the starts.
 func (w *Worker) claimedCommands(
-	claims map[ledger.Task]*ledger.Claim, epoch uint64,
-) (stops, starts []wire.Command) {
+	claims map[ledger.Task]*ledger.Claim,
+) (stops, starts []wire.Command, startedClaims []*ledger.Claim) {
 	for task, claim := range claims {
 		reported, present := w.Tasks[task]
 		present = present && reported.Attempt == claim.Attempt
@@ -41,11 +47,11 @@
 				stops = append(stops, stop)
 			}
 		case !present && claim.Committed && !claim.Unconfirmed:
-			claim.StartSent, claim.StartEpoch = true, epoch
 			starts = append(starts, command(wire.ActionStart, task, claim.Attempt))
+			startedClaims = append(startedClaims, claim)
 		}
 	}
-	return stops, starts
+	return stops, starts, startedClaims
 }
 
 // unclaimedCommands returns the commands for reported tasks without a claim for the same attempt.
--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -52,6 +52,7 @@
 	batch, err := o.respond(ctx, heartbeat, localLeader)
 	if err == nil {
 		batch.Commands = o.cancellations.AmendCommands(heartbeat, batch.Commands)
+		batch = agent.FitBatch(batch)
 	}
 	return batch, err
 }
