Simulation: late copies of direct commands, and a worker as the protocol describes it

It never received a command twice, it pulled every image for a second even if it had it, so that a stop always came before the task ran, and it kept one attempt of a task at a time, so that a later attempt overwrote the record of an earlier one.

A cached image starts at once. Exited attempts are kept by task and attempt until they are forgotten; a start is refused as a duplicate or for lack of capacity. The new property is checked wherever a start takes effect: none does after its attempt has ended on that worker. While the claim of that attempt is still stored, a new leader may start it again; a trace of the leader's model shows that (claim freed in memory, leader changed before it was written).

--- a/internal/sim/checks_test.go
+++ b/internal/sim/checks_test.go
@@ -104,9 +104,9 @@
 		capacity := workerCapacity{instance: worker.instance, freeCPUs: types[i].CPUs, freeMemoryGB: types[i].MemoryGB, unfinishedTasks: make(map[string]bool)}
 		worker.mu.Lock()
 		healthy := !worker.paused && !worker.dropsResponses && !worker.dropsHeartbeats
-		for taskName, t := range worker.tasks {
+		for key, t := range worker.tasks {
 			if t.Phase != wire.TaskExited {
-				capacity.unfinishedTasks[taskName] = true
+				capacity.unfinishedTasks[key.task] = true
 			}
 		}
 		worker.mu.Unlock()
--- a/internal/sim/cloud_test.go
+++ b/internal/sim/cloud_test.go
@@ -115,6 +115,7 @@
 	if instance, ok := c.instances[name]; ok && !c.world.stopped() {
 		instance.Phase = wire.InstanceRunning
 		c.instances[name] = instance
-		c.world.startWorker(instance)
+		i := slices.IndexFunc(c.types, func(t wire.InstanceType) bool { return t.Name == instance.InstanceType })
+		c.world.startWorker(instance, c.types[i].CPUs)
 	}
 }
--- a/internal/sim/faultplan_test.go
+++ b/internal/sim/faultplan_test.go
@@ -36,6 +36,12 @@
 	}
 }
 
+// runOnce runs a plan with its own seed alone and checks the results.
+func (p faultPlan) runOnce(t *testing.T) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { p.run(t) })
+}
+
 func (p faultPlan) run(t *testing.T) {
 	if p.clusterSize == 0 {
 		p.clusterSize = controllerCount
--- a/internal/sim/network_test.go
+++ b/internal/sim/network_test.go
@@ -56,6 +56,15 @@
 
 // resetHost breaks all connections of a host and closes its listeners.
 func (n *network) resetHost(host string) {
+	n.resetConnections(host)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closeListeners(host)
+	n.cond.Broadcast()
+}
+
+// resetConnections breaks all connections of a host, which goes on listening.
+func (n *network) resetConnections(host string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for c := range n.conns {
@@ -63,7 +72,6 @@
 			c.abort()
 		}
 	}
-	n.closeListeners(host)
 	n.cond.Broadcast()
 }
 
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -45,8 +45,8 @@
 // startWorldOfSize is startWorld with clusterSize controllers.
 func startWorldOfSize(t testing.TB, seed uint64, clusterSize int, teamCPULimit float64, maxInstances int, operatorSettings string) (ctx context.Context, w *world, store *fakeStore, cloud *fakeCloud, controllers []*controllerProcess, end func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	w = &world{t: t, ctx: ctx, teamCPULimit: teamCPULimit, rnd: rand.New(rand.NewPCG(seed, 6)), net: newNetwork(rand.New(rand.NewPCG(seed, 8))), workers: map[string]*fakeWorker{}, jobs: map[string]wire.Job{},
-		workerOf: map[ledger.Task]string{}, usedCPUs: map[string]float64{}, doneTasks: map[ledger.Task]bool{}, lastPhase: map[string]string{}, cancelledAt: map[string]time.Time{}, cancelRequested: map[string]bool{}, acceptedSignal: map[string]chan struct{}{}, acceptedAt: map[string]time.Time{}, startedAttempts: map[startedAttempt]bool{}, operatorSettings: operatorSettings,
+	w = &world{t: t, ctx: ctx, teamCPULimit: teamCPULimit, rnd: rand.New(rand.NewPCG(seed, 6)), net: newNetwork(rand.New(rand.NewPCG(seed, 8))), workers: map[string]*fakeWorker{}, jobs: map[string]wire.Job{}, uploadedJobs: map[string]wire.Job{},
+		workerOf: map[ledger.Task]string{}, usedCPUs: map[string]float64{}, doneTasks: map[ledger.Task]bool{}, lastPhase: map[string]string{}, cancelledAt: map[string]time.Time{}, cancelRequested: map[string]bool{}, acceptedSignal: map[string]chan struct{}{}, acceptedAt: map[string]time.Time{}, startedAttempts: map[startedAttempt]bool{}, endedAttempts: map[startedAttempt]bool{}, operatorSettings: operatorSettings,
 		firstStart: map[string]time.Time{}, lastResponse: map[string]time.Time{}, waitingWithRoomSince: map[string]time.Time{}}
 	w.maxInstances, w.clusterSize, w.upgraded = maxInstances, clusterSize, make(map[int]bool)
 	store = newFakeStore(rand.New(rand.NewPCG(seed, 9)), w.recordViolation)
--- a/internal/sim/users_test.go
+++ b/internal/sim/users_test.go
@@ -141,7 +141,7 @@
 // submit starts a user who submits a job after a delay.
 func (w *world) submit(ctx context.Context, job wire.Job, delay, cancelAfter time.Duration) {
 	w.mu.Lock()
-	w.jobs[job.ID] = job
+	w.jobs[job.ID], w.uploadedJobs[job.ID] = job, job
 	w.acceptedSignal[job.ID] = make(chan struct{})
 	w.mu.Unlock()
 	w.wg.Go(func() {
--- a/internal/sim/worker_test.go
+++ b/internal/sim/worker_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
 	"log"
 	"net"
 	"net/http"
-	"sort"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -23,6 +24,12 @@
 	timer *time.Timer
 }
 
+// attemptKey identifies an attempt of a task on a worker.
+type attemptKey struct {
+	task    string
+	attempt uint64
+}
+
 // fakeWorker is a fake of a worker's agent.
 type fakeWorker struct {
 	world    *world
@@ -35,7 +42,8 @@
 	sequence                uint64
 	epoch                   uint64
 	leaseRenewedAt          time.Time // when the heartbeat that last renewed the lease was sent
-	tasks                   map[string]*workerTask
+	tasks                   map[attemptKey]*workerTask
+	cachedImages            map[string]bool // images that the worker has pulled
 	controller              int
 	heartbeatNow            chan struct{}
 	dropsResponses          bool      // responses and commands to the worker are lost
@@ -43,8 +51,10 @@
 	heartbeatFaultChangedAt time.Time // when dropsHeartbeats was last set or cleared
 	holdsNextHeartbeat      bool      // the next heartbeat is held until deliverHeld
 	heldHeartbeat           []byte
-	paused                  bool // tasks make no progress, and end once the lease expires
-	failsTasks              bool // every task that starts fails at once
+	paused                  bool    // tasks make no progress, and end once the lease expires
+	failsTasks              bool    // every task that starts fails at once
+	cpus                    float64 // of the instance type
+	stopped                 bool    // the instance is gone
 }
 
 func (k *fakeWorker) heartbeat() wire.Heartbeat {
@@ -53,7 +63,9 @@
 	for _, task := range k.tasks {
 		heartbeat.Tasks = append(heartbeat.Tasks, task.TaskStatus)
 	}
-	sort.Slice(heartbeat.Tasks, func(a, b int) bool { return heartbeat.Tasks[a].Task < heartbeat.Tasks[b].Task })
+	slices.SortFunc(heartbeat.Tasks, func(a, b wire.TaskStatus) int {
+		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Attempt, b.Attempt))
+	})
 	return heartbeat
 }
 
@@ -72,7 +84,7 @@
 	for _, task := range k.tasks {
 		k.endTask(task, "killed")
 	}
-	k.tasks = map[string]*workerTask{}
+	k.tasks = map[attemptKey]*workerTask{}
 }
 
 func (k *fakeWorker) endTask(task *workerTask, reason string) {
@@ -82,6 +94,9 @@
 	if task.Phase == wire.TaskRunning {
 		k.world.taskStopped(task.TaskStatus.Task, k.instance.Name)
 	}
+	if task.Phase != wire.TaskExited {
+		k.world.attemptEnded(task.TaskStatus, k.instance.Name)
+	}
 	task.Phase, task.ExitReason = wire.TaskExited, reason
 }
 
@@ -236,27 +251,20 @@
 
 func (k *fakeWorker) execute(commands []wire.Command) {
 	for _, command := range commands {
-		key := command.Task
+		key := attemptKey{command.Task, command.Attempt}
 		task := k.tasks[key]
 		switch command.Action {
 		case wire.ActionStart:
 			if task != nil {
-				if task.Attempt != command.Attempt && task.Phase != wire.TaskExited {
-					k.world.recordViolation("two_attempts: %s was started as attempt %d while attempt %d is on the worker", key, command.Attempt, task.Attempt)
-				}
-				if task.Attempt == command.Attempt || task.Phase != wire.TaskExited {
-					continue
-				}
+				continue
 			}
-			task = &workerTask{TaskStatus: wire.TaskStatus{Task: key, Attempt: command.Attempt, Phase: wire.TaskFetching}}
-			k.tasks[key] = task
-			task.timer = time.AfterFunc(time.Second, func() { k.startTask(task) })
+			k.start(key)
 		case wire.ActionStop:
-			if task != nil && task.Attempt == command.Attempt && task.Phase != wire.TaskExited {
+			if task != nil && task.Phase != wire.TaskExited {
 				k.endTask(task, wire.ExitStopped)
 			}
 		case wire.ActionForget:
-			if task != nil && task.Attempt == command.Attempt && task.Phase == wire.TaskExited {
+			if task != nil && task.Phase == wire.TaskExited {
 				delete(k.tasks, key)
 			}
 		}
@@ -264,15 +272,68 @@
 	}
 }
 
+// start starts an attempt that the worker does not know, or refuses it.
+func (k *fakeWorker) start(key attemptKey) {
+	task := &workerTask{TaskStatus: wire.TaskStatus{Task: key.task, Attempt: key.attempt, Phase: wire.TaskFetching}}
+	k.world.startTookEffect(task.TaskStatus, k.instance.Name)
+	reason, running := k.refusal(key)
+	if running != nil {
+		k.world.recordTwoAttempts(key, running.Attempt)
+	}
+	k.tasks[key] = task
+	if reason != "" {
+		k.endTask(task, reason)
+		return
+	}
+	id, _ := ledger.ParseTask(key.task)
+	image := k.world.job(id.JobID).Image
+	if k.cachedImages[image] {
+		k.startTaskLocked(task)
+		return
+	}
+	task.timer = time.AfterFunc(time.Second, func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.cachedImages[image] = true
+		k.startTaskLocked(task)
+	})
+}
+
+// refusal returns why the worker refuses to start an attempt, "" if it does not, and the other
+// attempt of the task that is on the worker, nil if there is none.
+func (k *fakeWorker) refusal(key attemptKey) (reason string, running *workerTask) {
+	id, _ := ledger.ParseTask(key.task)
+	cpus := k.world.job(id.JobID).CPUs
+	for other, task := range k.tasks {
+		if task.Phase == wire.TaskExited {
+			continue
+		}
+		if other.task == key.task {
+			return wire.ExitDuplicate, task
+		}
+		otherID, _ := ledger.ParseTask(other.task)
+		cpus += k.world.job(otherID.JobID).CPUs
+	}
+	if k.cpus > 0 && cpus > k.cpus+1e-6 {
+		return wire.ExitNoCapacity, nil
+	}
+	return "", nil
+}
+
 func (k *fakeWorker) startTask(task *workerTask) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.startTaskLocked(task)
+}
+
+// startTaskLocked runs a task whose image is there. The caller holds k.mu.
+func (k *fakeWorker) startTaskLocked(task *workerTask) {
 	k.expire()
 	if k.paused {
 		task.timer = time.AfterFunc(time.Second, func() { k.startTask(task) })
 		return
 	}
-	if task.Phase != wire.TaskFetching || k.tasks[task.TaskStatus.Task] != task {
+	if task.Phase != wire.TaskFetching || !k.has(task) {
 		return
 	}
 	id, _ := ledger.ParseTask(task.TaskStatus.Task)
@@ -298,6 +359,11 @@
 	}
 }
 
+// has reports whether an attempt is still the worker's. The caller holds k.mu.
+func (k *fakeWorker) has(task *workerTask) bool {
+	return k.tasks[attemptKey{task.TaskStatus.Task, task.Attempt}] == task
+}
+
 // completeTask ends a task as done, or retries every second while the worker is paused.
 func (k *fakeWorker) completeTask(task *workerTask, id ledger.Task) {
 	k.mu.Lock()
@@ -307,7 +373,7 @@
 		return
 	}
 	k.expire()
-	if task.Phase == wire.TaskRunning && k.tasks[task.TaskStatus.Task] == task {
+	if task.Phase == wire.TaskRunning && k.has(task) {
 		k.endTask(task, wire.ExitDone)
 		k.world.taskDone(id)
 		k.requestHeartbeat()
@@ -327,14 +393,24 @@
 	k.expire()
 	status := 200
 	if r.URL.Path == "/do" {
-		if batch.Epoch < k.epoch || batch.Incarnation != k.incarnation {
+		if !k.executeDirect(batch) {
 			status = 409
 		} else {
-			k.epoch = batch.Epoch
-			k.execute(batch.Commands)
+			k.maybeRepeat(batch)
 		}
 	}
 	writeJSON(w, status, k.heartbeat())
 }
 
+// executeDirect executes direct commands, unless their epoch or incarnation is outdated, and
+// reports whether it did. The caller holds k.mu.
+func (k *fakeWorker) executeDirect(batch wire.CommandBatch) bool {
+	if batch.Epoch < k.epoch || batch.Incarnation != k.incarnation {
+		return false
+	}
+	k.epoch = batch.Epoch
+	k.execute(batch.Commands)
+	return true
+}
+
 var _ net.Listener = (*hostListener)(nil)
--- a/internal/sim/world_test.go
+++ b/internal/sim/world_test.go
@@ -27,6 +27,7 @@
 	rnd                      *rand.Rand
 	workers                  map[string]*fakeWorker
 	jobs                     map[string]wire.Job
+	uploadedJobs             map[string]wire.Job    // as users uploaded them for the workers
 	workerOf                 map[ledger.Task]string // worker that a task is running on
 	usedCPUs                 map[string]float64     // by team
 	doneTasks                map[ledger.Task]bool
@@ -47,6 +48,9 @@
 	sockets                  int                     // per controller; 0: as many as needed
 	teamCount                int                     // teams with equal quotas; 0: the two default teams
 	startedAttempts          map[startedAttempt]bool // every attempt that started
+	endedAttempts            map[startedAttempt]bool // every attempt that ended on a worker, also a refused one
+	commandCopyShare         float64                 // share of the executed direct commands of which a late copy arrives
+	commandCopies            int                     // late copies that arrived while epoch and incarnation matched
 	firstStart               map[string]time.Time    // when the first task started, by job
 	lastResponse             map[string]time.Time    // when the user last got a successful response, by job
 	faultsEndedAt            time.Time               // when the last fault ended; zero: not yet
@@ -190,9 +194,9 @@
 	return w.doneTasks[id]
 }
 
-func (w *world) startWorker(instance wire.Instance) {
+func (w *world) startWorker(instance wire.Instance, cpus float64) {
 	ctx, cancel := context.WithCancel(w.ctx)
-	worker := &fakeWorker{world: w, instance: instance, cancel: cancel, incarnation: 1, leaseRenewedAt: time.Now(), tasks: map[string]*workerTask{}, controller: w.intN(w.clusterSize), heartbeatNow: make(chan struct{}, 1),
+	worker := &fakeWorker{world: w, instance: instance, cancel: cancel, incarnation: 1, leaseRenewedAt: time.Now(), tasks: map[attemptKey]*workerTask{}, cachedImages: map[string]bool{}, cpus: cpus, controller: w.intN(w.clusterSize), heartbeatNow: make(chan struct{}, 1),
 		client: &http.Client{Transport: &http.Transport{DialContext: w.net.forHost(instance.Name).Dial}}}
 	w.mu.Lock()
 	worker.dropsHeartbeats, worker.heartbeatFaultChangedAt = w.newWorkersDropHeartbeats, time.Now()
@@ -214,6 +218,7 @@
 	worker.mu.Lock()
 	defer worker.mu.Unlock()
 	worker.endAllTasks()
+	worker.stopped = true
 	worker.leaseRenewedAt = time.Now().Add(time.Hour) // prevents the lease from expiring on a stopped worker
 }
 
