Forget an exited attempt only once no copy of its direct start can take effect

Cause: a worker was told to forget an exited attempt once no direct command was in flight or without an answer. An answered command counted as done with for good. But a copy of it may arrive minutes later; token and session still match, the attempt is unknown by then, and it starts. Class of the fault: a right that had lapsed, taken for ended by an answer.

Change: the leader records the epoch of each direct start by worker and attempt, and gives the forget only in an answer with a higher epoch. The answer makes the worker reject all copies before it forgets. A new leader's epoch is above those of all direct starts before it. The epoch is raised when an exited attempt is four leases old or 64 direct starts to one worker are recorded, at most once in a heartbeat interval as before; beyond 128 starts go out in answers only, so that heartbeats stay under 32 KiB of exited attempts with the longest job IDs.

Exited attempts that stay longer must not get in the way: a worker with nothing else counts as idle, a claim that never started is freed beside an exited attempt of its task, and of two attempts of a task one that runs goes before a refused one, so that it is stopped. A direct command that was refused because the epoch rose meanwhile is given again at once.

The log says at info which command was given to whom, under which incarnation and epoch, by which path and why; which claim was freed and why; and why the epoch was raised or could not be. Metrics: held exits, age of the oldest, raises by reason.

Late copies of commands and agents that restart within a second are now among the random faults. TestCommands: the two cases of a command of unknown outcome are replaced by cases for any direct start, answered or not, which include them.

--- a/internal/agent/commands.go
+++ b/internal/agent/commands.go
@@ -11,18 +11,28 @@
 // reported state, as many as fit a message. Stops come first, so that the starts find the resources
 // free. Each claim whose start is among the commands is marked as StartSent.
 //
-// A worker is told to forget an ended task only in the answer to a heartbeat: it has at most one
-// heartbeat in flight, so a start from an earlier answer cannot arrive after the forget.
+// A worker would execute the start of an attempt that it has forgotten. It is therefore told to
+// forget only in the answer to a heartbeat, of which it has one in flight at most, so that no start
+// of an earlier answer arrives afterwards, and only under an epoch above that of the attempt's
+// direct starts, which the answer makes it reject. Once maxDirectStarts direct starts are recorded,
+// further starts are given in answers only.
 func (w *Worker) Commands(
 	claims map[ledger.Task]*ledger.Claim, epoch uint64, inHeartbeatAnswer bool,
 ) []wire.Command {
 	stops, starts, startedClaims := w.claimedCommands(claims)
-	unclaimedStops, forgets := w.unclaimedCommands(claims, inHeartbeatAnswer)
+	unclaimedStops, forgets := w.unclaimedCommands(claims, epoch)
+	if !inHeartbeatAnswer {
+		forgets = nil
+		starts = starts[:min(len(starts), max(0, maxDirectStarts-len(w.DirectStarts)))]
+	}
 	all := slices.Concat(stops, unclaimedStops, forgets, starts)
 	commands := FitBatch(wire.CommandBatch{Epoch: epoch, Incarnation: w.Incarnation, Commands: all}).Commands
 	includedStarts := max(0, len(commands)-(len(all)-len(starts))) // starts are left out first
 	for _, claim := range startedClaims[:includedStarts] {
 		claim.StartSent, claim.StartEpoch = true, epoch
+		if !inHeartbeatAnswer {
+			w.DirectStarts[Attempt{claim.Task(), claim.Attempt}] = epoch
+		}
 	}
 	return commands
 }
@@ -57,16 +67,15 @@
 // unclaimedCommands returns the commands for reported tasks without a claim for the same attempt.
 // It skips orphaned tasks.
 func (w *Worker) unclaimedCommands(
-	claims map[ledger.Task]*ledger.Claim, inHeartbeatAnswer bool,
+	claims map[ledger.Task]*ledger.Claim, epoch uint64,
 ) (stops, forgets []wire.Command) {
-	mayForget := inHeartbeatAnswer && !w.CommandInFlight && w.UnresolvedEpoch < max(w.SeenEpoch, 1)
 	for task, reported := range w.Tasks {
 		claim := claims[task]
 		switch {
 		case claim != nil && claim.Attempt == reported.Attempt, reported.Orphaned:
 		case reported.Phase != wire.TaskExited:
 			stops = append(stops, command(wire.ActionStop, task, reported.Attempt))
-		case mayForget:
+		case !w.CommandInFlight && !w.MayStartAgain(Attempt{task, reported.Attempt}, epoch):
 			forgets = append(forgets, command(wire.ActionForget, task, reported.Attempt))
 		}
 	}
--- a/internal/agent/commands_test.go
+++ b/internal/agent/commands_test.go
@@ -40,6 +40,17 @@
 func startSent(claim *ledger.Claim)   { claim.StartSent = true }
 func finished(claim *ledger.Claim)    { claim.Finished = true }
 
+// directStart records a direct start of an attempt of req-1/0 under an epoch.
+func directStart(attempt, epoch uint64) func(*Worker) {
+	return func(worker *Worker) { worker.DirectStarts[Attempt{ledger.Task{JobID: "req-1"}, attempt}] = epoch }
+}
+
+func manyDirectStarts(worker *Worker) {
+	for i := range maxDirectStarts {
+		worker.DirectStarts[Attempt{ledger.Task{JobID: "req-8", Index: i}, 1}] = 7
+	}
+}
+
 func TestCommands(t *testing.T) {
 	live, cancelled := &ledger.Job{ID: "req-1"}, &ledger.Job{ID: "req-2", Cancelled: true}
 	running, ended := []reportedTask{{"req-1/0", 4, "running"}}, []reportedTask{{"req-1/0", 4, "ended"}}
@@ -69,14 +80,11 @@
 		{"no forget before the end is durable", newClaim(live, 1, committed, finished), ended, nil, true, ""},
 		{"no forget in a direct command", nil, ended, nil, false, ""},
 		{"no forget with a command in flight", nil, ended, func(worker *Worker) { worker.CommandInFlight = true }, true, ""},
-		{
-			"no forget while a command of unknown outcome may still arrive",
-			nil, ended, func(worker *Worker) { worker.UnresolvedEpoch = 7 }, true, "",
-		},
-		{
-			"forget once the worker has seen a later epoch",
-			nil, ended, func(worker *Worker) { worker.UnresolvedEpoch = 6 }, true, "reap req-1/0 4",
-		},
+		{"no forget while a copy of the direct start may arrive", nil, ended, directStart(4, 7), true, ""},
+		{"forget once the answer's epoch is above the direct start's", nil, ended, directStart(4, 6), true, "reap req-1/0 4"},
+		{"forget beside the direct start of another attempt", nil, ended, directStart(5, 7), true, "reap req-1/0 4"},
+		{"no direct start beside many others", newClaim(live, 1, committed), nil, manyDirectStarts, false, ""},
+		{"start in an answer beside many direct ones", newClaim(live, 1, committed), nil, manyDirectStarts, true, "launch req-1/0 4"},
 		{
 			"stop of another attempt before the start",
 			newClaim(live, 1, committed), []reportedTask{{"req-1/0", 3, "running"}}, nil, true,
--- /dev/null
+++ b/internal/agent/directstart_test.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"rillflow/internal/ledger"
+	"rillflow/internal/wire"
+)
+
+// Guards against a heartbeat over the protocol's limit, however long no epoch can be raised: exited attempts of
+// the longest job IDs that must not be forgotten take half of it.
+func TestHeldExitsFitHeartbeat(t *testing.T) {
+	heartbeat := wire.Heartbeat{Worker: "i-000001"}
+	for i := range maxDirectStarts {
+		task := ledger.Task{JobID: "req-" + strings.Repeat("9", 40), Index: 1<<20 + i}
+		heartbeat.Tasks = append(heartbeat.Tasks, wire.TaskStatus{
+			Task: task.String(), Attempt: 1 << 62, Phase: wire.TaskExited, ExitReason: wire.ExitUnknownTask,
+		})
+	}
+	if size := encodedSize(heartbeat); size > MaxBatchBytes/2 {
+		t.Errorf("%d exited attempts take %d bytes, want at most %d", maxDirectStarts, size, MaxBatchBytes/2)
+	}
+}
+
+// Guards against a start that is executed after its attempt was forgotten: only a higher epoch seen by the
+// worker, or a new incarnation, ends the record of a direct start.
+func TestDirectStartIsRecordedUntilFenced(t *testing.T) {
+	attempt := Attempt{ledger.Task{JobID: "req-1"}, 4}
+	now := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		name   string
+		change func(*Worker)
+		want   bool
+	}{
+		{"command answered", func(worker *Worker) { worker.CommandInFlight = false }, true},
+		{"the same epoch seen", func(worker *Worker) { worker.RecordSeenEpoch(7, now) }, true},
+		{"a higher epoch seen", func(worker *Worker) { worker.RecordSeenEpoch(8, now) }, false},
+		{"new incarnation", func(worker *Worker) { worker.BeginIncarnation(2) }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			worker := NewWorker("i-1")
+			worker.Incarnation, worker.SeenEpoch = 1, 7
+			claim := newClaim(&ledger.Job{ID: "req-1"}, 1, committed)[0]
+			worker.Commands(map[ledger.Task]*ledger.Claim{claim.Task(): claim}, 7, false)
+			tc.change(worker)
+			if got := worker.MayStartAgain(attempt, 7); got != tc.want {
+				t.Errorf("the direct start may start the attempt again: %v, want %v", got, tc.want)
+			}
+			if worker.MayStartAgain(attempt, 8) {
+				t.Error("a worker that knows epoch 8 executes a start of epoch 7")
+			}
+		})
+	}
+}
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -44,11 +44,10 @@
 	HasUnclaimedTask bool    // a task without a claim takes resources on it
 	Images           []Image // most recently used first
 
-	// UnresolvedEpoch is the epoch of the latest direct command whose outcome is unknown. Until
-	// the worker has seen a higher epoch, that command may still be executed, so the worker must
-	// not forget any task that it could then start again.
-	UnresolvedEpoch uint64
-	CommandInFlight bool
+	// DirectStarts holds the epoch of the last direct start command of each attempt. A copy of the
+	// command may arrive at any time, answered or not, until the worker has seen a higher epoch.
+	DirectStarts    map[Attempt]uint64
+	CommandInFlight bool // a direct command has not been answered yet
 
 	// SoleOwnerEpoch is the epoch since which this leader alone may answer the worker; 0 while
 	// another controller may.
@@ -70,6 +69,12 @@
 	Wake chan struct{} // wakes the goroutine that sends commands to it
 }
 
+// Attempt identifies an attempt of a task.
+type Attempt struct {
+	Task   ledger.Task
+	Number uint64
+}
+
 // TaskStatus is a task as a worker reported it.
 type TaskStatus struct {
 	Attempt  uint64
@@ -87,7 +92,10 @@
 
 // NewWorker returns a worker that has not reported yet.
 func NewWorker(name string) *Worker {
-	return &Worker{Name: name, Tasks: make(map[ledger.Task]TaskStatus), Wake: make(chan struct{}, 1)}
+	return &Worker{
+		Name: name, Tasks: make(map[ledger.Task]TaskStatus), DirectStarts: make(map[Attempt]uint64),
+		Wake: make(chan struct{}, 1),
+	}
 }
 
 // WakeSender wakes the goroutine that sends commands to the worker. It never blocks.
--- a/internal/leader/commander.go
+++ b/internal/leader/commander.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"rillflow/internal/agent"
@@ -53,7 +52,7 @@
 			continue
 		}
 		heartbeat, refused, err := c.workerClient.Send(ctx, command.address, command.batch)
-		noHeartbeat := c.commandAnswered(worker, command, heartbeat, err)
+		noHeartbeat := c.commandAnswered(worker, command, heartbeat, refused)
 		if err == nil && !refused {
 			attempt = 0
 			continue
@@ -86,25 +85,25 @@
 		return nil, true
 	}
 	batch := wire.CommandBatch{Epoch: epoch, Incarnation: worker.Incarnation, Commands: commands}
-	c.logCommands(worker, batch)
+	c.logCommands(worker, batch, pathDirect)
 	return &directCommand{address: worker.Address, batch: batch, lastHeartbeat: worker.LastHeartbeat}, true
 }
 
-// commandAnswered handles the response to a direct command or its error, and reports whether the
-// worker has sent no heartbeat since the command was made. A command of unknown outcome may still
-// be executed until the worker has seen a higher epoch.
+// commandAnswered handles the response to a direct command, nil if there is none, and reports whether the
+// worker has sent no heartbeat since the command was made. A command that was refused because the epoch
+// was raised meanwhile is given again.
 func (c *commander) commandAnswered(
-	worker *agent.Worker, command *directCommand, heartbeat *wire.Heartbeat, err error,
+	worker *agent.Worker, command *directCommand, heartbeat *wire.Heartbeat, refused bool,
 ) (noHeartbeat bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	worker.CommandInFlight = false
-	if err != nil && !errors.Is(err, agent.ErrNotSent) {
-		worker.UnresolvedEpoch = max(worker.UnresolvedEpoch, command.batch.Epoch)
-	}
 	if heartbeat != nil {
 		c.heartbeats.applyHeartbeat(heartbeat)
 	}
+	if refused && command.batch.Epoch < c.leadership.Epoch() {
+		worker.WakeSender()
+	}
 	return worker.LastHeartbeat.Equal(command.lastHeartbeat)
 }
 
--- a/internal/leader/demand.go
+++ b/internal/leader/demand.go
@@ -51,7 +51,7 @@
 			instance.ReplicaCores += claim.Job.Spec.CPUs
 		}
 	}
-	if instance.Up && len(worker.Tasks) == 0 && len(claims) == 0 {
+	if instance.Up && !worker.HasUnfinishedTask() && len(claims) == 0 {
 		instance.IdleSince = worker.IdleSince
 	}
 	return instance
--- a/internal/leader/drainer.go
+++ b/internal/leader/drainer.go
@@ -42,7 +42,7 @@
 				d.remainingSeconds(claim, now) <= secondsLeft {
 				continue
 			}
-			claim.Stopping = true
+			claim.Stop(stopReclaimed)
 			d.auditLog.enqueueTask(now, audit.Stopped, claim, stopReclaimed, "")
 			worker.WakeSender()
 			d.log.Debug("task drained", "task", claim.Task(), "worker", worker.Name, "left_s", secondsLeft)
@@ -124,7 +124,7 @@
 		}
 		target.allocate(job)
 		moved[job.ID] = true
-		claim.Stopping = true
+		claim.Stop(stopDrained)
 		d.auditLog.enqueueTask(now, audit.Stopped, claim, stopDrained, "")
 		worker.WakeSender()
 	}
--- a/internal/leader/heartbeats.go
+++ b/internal/leader/heartbeats.go
@@ -61,8 +61,8 @@
 		if !h.dataLossSuspected() {
 			due := worker.Commands(h.jobs.ClaimsOnWorker(worker.Name), epoch, true)
 			commands.Commands = append(commands.Commands, due...)
-			h.logCommands(worker, commands)
-			h.requestFencing(worker)
+			h.logCommands(worker, commands, pathAnswer)
+			h.requestFencing(worker, now)
 		}
 	}
 	samples := worker.PendingSamples
@@ -103,12 +103,7 @@
 	worker.Address, worker.InstanceType, worker.Spot = heartbeat.Address, heartbeat.InstanceType, heartbeat.Spot
 	h.registry.setZone(worker, heartbeat.Zone)
 	worker.Sequence, worker.LastUpdate = heartbeat.Sequence, now
-	if heartbeat.Epoch > worker.SeenEpoch {
-		worker.SeenEpoch, worker.EpochSeenAt = heartbeat.Epoch, now
-	}
-	if worker.SeenEpoch > worker.UnresolvedEpoch {
-		worker.UnresolvedEpoch = 0
-	}
+	worker.RecordSeenEpoch(heartbeat.Epoch, now)
 	worker.ReclaimAt = time.Time{}
 	if heartbeat.SpotNoticeSeconds != nil {
 		worker.ReclaimAt = now.Add(time.Duration(*heartbeat.SpotNoticeSeconds * float64(time.Second)))
@@ -116,9 +111,7 @@
 	if heartbeat.Incarnation <= worker.Incarnation {
 		return
 	}
-	worker.Incarnation = heartbeat.Incarnation
-	worker.Tasks = make(map[ledger.Task]agent.TaskStatus)
-	worker.UnresolvedEpoch = 0 // commands carry the incarnation: the worker executes none of an earlier one
+	worker.BeginIncarnation(heartbeat.Incarnation)
 	for _, claim := range h.jobs.ClaimsOnWorker(worker.Name) {
 		if claim.Incarnation < heartbeat.Incarnation {
 			h.abandonImagePull(claim, worker)
@@ -127,10 +120,10 @@
 	}
 }
 
-// idleSince returns the time since which a worker has had neither tasks nor claims, zero if it
-// has any.
+// idleSince returns the time since which a worker has had neither unfinished tasks nor claims, zero
+// if it has any.
 func idleSince(worker *agent.Worker, claims int, now time.Time) time.Time {
-	if claims > 0 || len(worker.Tasks) > 0 {
+	if claims > 0 || worker.HasUnfinishedTask() {
 		return time.Time{}
 	}
 	if worker.IdleSince.IsZero() {
@@ -152,8 +145,8 @@
 		claims = h.jobs.ClaimsOnWorker(worker.Name)
 		current := h.taskStatus(worker, task, reported, now)
 		claim := claims[task]
-		if earlier, duplicate := seen[task]; duplicate && claim != nil && earlier.Attempt == claim.Attempt {
-			continue // of two attempts on the worker, the claimed one counts
+		if earlier, duplicate := seen[task]; duplicate && !takesPrecedence(current, earlier, claim) {
+			continue
 		}
 		seen[task] = current
 		if claim != nil && claim.Attempt == reported.Attempt && !claim.Finished {
@@ -170,6 +163,16 @@
 	h.freeUnstarted(worker, claims, seen)
 }
 
+// takesPrecedence reports whether an attempt counts rather than an earlier listed one of the same task on the
+// same worker: the claimed one does, or else one that has not exited.
+func takesPrecedence(attempt, earlier agent.TaskStatus, claim *ledger.Claim) bool {
+	if claim != nil && claim.Attempt == earlier.Attempt {
+		return false
+	}
+	isClaimed := claim != nil && claim.Attempt == attempt.Attempt
+	return isClaimed || attempt.Phase != wire.TaskExited || earlier.Phase == wire.TaskExited
+}
+
 // taskStatus converts a reported task, and sets since when it has been in its phase.
 func (h *heartbeatReconciler) taskStatus(
 	worker *agent.Worker, task ledger.Task, reported wire.TaskStatus, now time.Time,
@@ -207,28 +210,54 @@
 	worker *agent.Worker, claims map[ledger.Task]*ledger.Claim, seen map[ledger.Task]agent.TaskStatus,
 ) {
 	for task, claim := range claims {
-		_, present := seen[task]
-		if !present && isUnwanted(claim) && !worker.CommandInFlight && worker.SeenEpoch > claim.StartEpoch {
+		if !isPresent(seen, task, claim) && isUnwanted(claim) &&
+			!worker.CommandInFlight && worker.SeenEpoch > claim.StartEpoch {
 			h.freeClaim(claim, freedNeverStarted)
 		}
 	}
 }
 
+// isPresent reports whether the attempt of a claim is among the tasks of its worker.
+func isPresent(tasks map[ledger.Task]agent.TaskStatus, task ledger.Task, claim *ledger.Claim) bool {
+	status, ok := tasks[task]
+	return ok && status.Attempt == claim.Attempt
+}
+
 // isUnwanted reports whether a claim is to be freed once it is proven that its task does not run.
 func isUnwanted(claim *ledger.Claim) bool {
 	return claim.Job.Cancelled || claim.Stopping || claim.Unconfirmed
 }
 
-// requestFencing requests a higher epoch if a worker has to see one: to forget ended tasks that a
-// command of unknown outcome could start again, or to prove that a task was never started.
-func (h *heartbeatReconciler) requestFencing(worker *agent.Worker) {
-	needed := worker.UnresolvedEpoch != 0 && len(worker.Tasks) > 0
+// maxExitAgeLeases is the time after which an exited attempt is to be forgotten, in worker leases.
+// A shorter one makes all workers report a higher epoch more often, a longer one lengthens their
+// heartbeats.
+const maxExitAgeLeases = 4
+
+// requestFencing requests a higher epoch if a worker has to see one.
+func (h *heartbeatReconciler) requestFencing(worker *agent.Worker, now time.Time) {
+	if reason := h.fencingReason(worker, now); reason != "" {
+		h.requestEpoch(reason)
+	}
+}
+
+// fencingReason returns why a worker has to see a higher epoch than the current one: to prove that a
+// task was never started, or to forget attempts that a copy of a direct start could start again. It
+// returns "" if the worker has to see none.
+func (h *heartbeatReconciler) fencingReason(worker *agent.Worker, now time.Time) string {
+	epoch := h.leadership.Epoch()
+	if worker.SeenEpoch < epoch {
+		return "" // the answer to its heartbeat carries the current epoch
+	}
 	for task, claim := range h.jobs.ClaimsOnWorker(worker.Name) {
-		if _, present := worker.Tasks[task]; !present && isUnwanted(claim) {
-			needed = needed || worker.SeenEpoch <= claim.StartEpoch
+		if !isPresent(worker.Tasks, task, claim) && isUnwanted(claim) && worker.SeenEpoch <= claim.StartEpoch {
+			return epochForUnstartedClaim
 		}
 	}
-	if needed && worker.SeenEpoch >= h.leadership.Epoch() {
-		notify(h.epochSignal)
+	if len(worker.DirectStarts) >= agent.ManyDirectStarts {
+		return epochForManyStarts
+	}
+	if held, oldest := worker.HeldExits(epoch); held > 0 && now.Sub(oldest) > maxExitAgeLeases*h.settings.WorkerLease() {
+		return epochForOldExit
 	}
+	return ""
 }
--- a/internal/leader/model_test.go
+++ b/internal/leader/model_test.go
@@ -61,7 +61,7 @@
 	}
 	for i, zone := range []string{"a", "b", "a", "b"} {
 		m.workers = append(m.workers, &modelWorker{
-			name: fmt.Sprint("i-", i), zone: zone, incarnation: 1, answeredAt: now, tasks: map[string]*wire.TaskStatus{},
+			name: fmt.Sprint("i-", i), zone: zone, incarnation: 1, answeredAt: now, tasks: map[string]*wire.TaskStatus{}, ended: map[string]bool{},
 		})
 	}
 	m.submit(3, wire.KindArray)
@@ -239,7 +239,7 @@
 	m.now = m.now.Add(time.Duration(seconds) * time.Second)
 	for _, worker := range m.workers {
 		if m.now.Sub(worker.answeredAt) > 30*time.Second+15*time.Millisecond {
-			worker.tasks, worker.answeredAt = map[string]*wire.TaskStatus{}, m.now
+			worker.tasks, worker.ended, worker.answeredAt = map[string]*wire.TaskStatus{}, map[string]bool{}, m.now
 			worker.incarnation++
 		}
 	}
@@ -307,7 +307,7 @@
 		{"send commands", 1, m.sendCommands},
 		{"partition zone", 1, m.partitionZone},
 		{"finish task", 1, m.finishTask},
-		{"deliver late commands", 1, m.deliverLateCommands},
+		{"deliver late commands", 3, m.deliverLateCommands},
 		{"deliver late heartbeat", 1, m.deliverLateHeartbeat},
 		{"learn shard map", 1, m.learnShardMap},
 		{"place", 2, m.place},
--- a/internal/leader/modelworker_test.go
+++ b/internal/leader/modelworker_test.go
@@ -1,14 +1,17 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"rillflow/internal/ledger"
 	"rillflow/internal/wire"
 )
 
@@ -16,10 +19,11 @@
 type modelWorker struct {
 	name, zone                   string
 	epoch, incarnation, sequence uint64
-	answeredAt                   time.Time // when the last answered heartbeat was sent
-	tasks                        map[string]*wire.TaskStatus
-	lateCommands                 []wire.CommandBatch // delayed in the network
-	lateHeartbeats               []wire.Heartbeat    // delayed in the network
+	answeredAt                   time.Time                   // when the last answered heartbeat was sent
+	tasks                        map[string]*wire.TaskStatus // by attemptName
+	ended                        map[string]bool             // attempts that ended in this incarnation, also forgotten ones
+	lateCommands                 []wire.CommandBatch         // delayed in the network, or repeated
+	lateHeartbeats               []wire.Heartbeat            // delayed in the network
 	released                     bool
 }
 
@@ -33,43 +37,73 @@
 	for _, task := range w.tasks {
 		heartbeat.Tasks = append(heartbeat.Tasks, *task)
 	}
-	slices.SortFunc(heartbeat.Tasks, func(a, b wire.TaskStatus) int { return int(a.Attempt) - int(b.Attempt) })
+	slices.SortFunc(heartbeat.Tasks, func(a, b wire.TaskStatus) int {
+		return cmp.Or(cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(a.Task, b.Task))
+	})
 	return heartbeat
 }
 
 // execute executes commands and checks the invariants that a start can break.
 func (m *model) execute(worker *modelWorker, commands []wire.Command) {
 	for _, command := range commands {
-		task := worker.tasks[command.Task]
+		name := attemptName(command.Task, command.Attempt)
+		task := worker.tasks[name]
 		switch command.Action {
 		case wire.ActionStart:
-			if task != nil && (task.Attempt == command.Attempt || task.Phase != wire.TaskExited) {
+			if task != nil {
 				continue
 			}
 			m.checkStart(worker, command)
-			worker.tasks[command.Task] = &wire.TaskStatus{Task: command.Task, Attempt: command.Attempt, Phase: wire.TaskRunning}
+			task = &wire.TaskStatus{Task: command.Task, Attempt: command.Attempt, Phase: wire.TaskRunning}
+			if worker.runs(command.Task) {
+				task.Phase, task.ExitReason = wire.TaskExited, wire.ExitDuplicate
+				worker.ended[name] = true
+			}
+			worker.tasks[name] = task
 		case wire.ActionStop:
-			if task != nil && task.Attempt == command.Attempt && task.Phase != wire.TaskExited {
+			if task != nil && task.Phase != wire.TaskExited {
 				task.Phase, task.ExitReason = wire.TaskExited, wire.ExitStopped
+				worker.ended[name] = true
 			}
 		case wire.ActionForget:
-			if task != nil && task.Attempt == command.Attempt && task.Phase == wire.TaskExited {
-				delete(worker.tasks, command.Task)
+			if task != nil && task.Phase == wire.TaskExited {
+				delete(worker.tasks, name)
 			}
 		}
 	}
 }
 
-// checkStart fails the test if the started task already runs elsewhere or the quota is exceeded.
+// attemptName identifies an attempt of a task on a worker.
+func attemptName(task string, attempt uint64) string { return fmt.Sprint(task, "@", attempt) }
+
+// runs reports whether any attempt of a task runs on the worker.
+func (w *modelWorker) runs(task string) bool {
+	for _, status := range w.tasks {
+		if status.Task == task && status.Phase != wire.TaskExited {
+			return true
+		}
+	}
+	return false
+}
+
+// checkStart fails the test if the started attempt has ended before, its task already runs elsewhere or
+// the quota is exceeded.
 func (m *model) checkStart(worker *modelWorker, command wire.Command) {
+	task, _ := ledger.ParseTask(command.Task)
+	claim := m.leader.jobs.ClaimsOnWorker(worker.name)[task]
+	// A new leader that has loaded the claim starts the attempt, as it cannot know that it has ended.
+	isClaimed := claim != nil && claim.Attempt == command.Attempt
+	if worker.ended[attemptName(command.Task, command.Attempt)] && !isClaimed {
+		m.t.Fatalf("started_again: attempt %d of %s on %s", command.Attempt, command.Task, worker.name)
+	}
 	used := 1.0
 	for _, other := range m.workers {
-		for name, task := range other.tasks {
+		for _, task := range other.tasks {
 			if other.released || task.Phase == wire.TaskExited {
 				continue
 			}
 			used++
-			if name == command.Task && other != worker {
+			if name := task.Task; name == command.Task && other != worker {
 				m.t.Fatalf("ran_twice: %s starts on %s while on %s", name, worker.name, other.name)
 			}
 		}
@@ -197,10 +231,10 @@
 	batch := wire.CommandBatch{Epoch: epoch, Incarnation: view.Incarnation, Commands: commands}
 	if rapid.Bool().Draw(m.t, "delayed") {
 		worker.lateCommands = append(worker.lateCommands, batch)
-		view.UnresolvedEpoch = max(view.UnresolvedEpoch, epoch)
 		return
 	}
 	m.deliverCommands(worker, batch)
+	worker.lateCommands = append(worker.lateCommands, batch) // a copy arrives once more
 }
 
 // deliverCommands delivers direct commands. The heartbeat that the worker returns may be lost.
@@ -215,12 +249,13 @@
 	}
 }
 
-// deliverLateCommands delivers delayed commands.
+// deliverLateCommands delivers delayed commands or copies of answered ones.
 func (m *model) deliverLateCommands() {
 	worker := m.drawWorker()
 	if len(worker.lateCommands) > 0 {
-		batch := worker.lateCommands[0]
-		worker.lateCommands = worker.lateCommands[1:]
+		i := rapid.IntRange(0, len(worker.lateCommands)-1).Draw(m.t, "late command")
+		batch := worker.lateCommands[i]
+		worker.lateCommands = slices.Delete(worker.lateCommands, i, i+1)
 		m.deliverCommands(worker, batch)
 	}
 }
@@ -244,7 +279,7 @@
 	for _, name := range slices.Sorted(maps.Keys(worker.tasks)) {
 		if task := worker.tasks[name]; task.Phase == wire.TaskRunning && !worker.released {
 			task.Phase, task.ExitReason = wire.TaskExited, wire.ExitDone
-			m.succeeded[name] = true
+			worker.ended[name], m.succeeded[task.Task] = true, true
 			return
 		}
 	}
--- a/internal/leader/preemption.go
+++ b/internal/leader/preemption.go
@@ -69,9 +69,9 @@
 			return
 		}
 		preemptedInZone[target.worker.Zone]++
-		victim.Stopping = true
 		reason := fmt.Sprintf(stopPreempted,
 			priorityName(p.dependencies.effectivePriority(victim.Job)), priorityName(p.dependencies.effectivePriority(job)))
+		victim.Stop(reason)
 		p.auditLog.enqueueTask(now, audit.Stopped, victim, reason, job.ID)
 		target.worker.WakeSender()
 		p.log.Info("task preempted", "task", victim.Task(), "worker", target.worker.Name, "job", job.ID)
--- a/internal/leader/scope.go
+++ b/internal/leader/scope.go
@@ -38,6 +38,7 @@
 	recentCancellations *cancellation.Set
 	log                 *slog.Logger
 	now                 func() time.Time
+	epochRaises         epochRaises
 }
 
 // signals wake the loops of a term. Each holds at most one notification, so that notifying never
@@ -47,7 +48,7 @@
 	scheduleSignal    chan struct{} // there may be new free capacity or new waiting tasks
 	dependencySignal  chan struct{} // a dependency may be resolved
 	propagationSignal chan struct{} // a dependent may have to be cancelled
-	epochSignal       chan struct{} // a higher epoch is needed
+	epochSignal       chan string   // why a higher epoch is needed
 }
 
 func newSignals() signals {
@@ -56,7 +57,7 @@
 		scheduleSignal:    make(chan struct{}, 1),
 		dependencySignal:  make(chan struct{}, 1),
 		propagationSignal: make(chan struct{}, 1),
-		epochSignal:       make(chan struct{}, 1),
+		epochSignal:       make(chan string, 1),
 	}
 }
 
@@ -114,7 +115,8 @@
 
 // freeClaim frees a claim whose task is proven to have ended. Callers hold mu.
 func (s *termScope) freeClaim(claim *ledger.Claim, reason string) {
-	s.log.Debug("claim freed", "task", claim.Task(), "worker", claim.Worker, "reason", reason)
+	s.log.Info("claim freed", "task", claim.Task(), "attempt", claim.Attempt, "worker", claim.Worker,
+		"incarnation", claim.Incarnation, "reason", reason)
 	now := s.now()
 	s.auditLog.enqueueTask(now, audit.Freed, claim, reason, "")
 	s.jobs.Free(claim, now)
--- a/internal/leader/shardkeeper.go
+++ b/internal/leader/shardkeeper.go
@@ -41,26 +41,24 @@
 	registry *workerRegistry
 }
 
-// raiseEpochs raises the epoch on request: to fence off a command of unknown outcome, or to
-// divide the workers among other shard owners.
+// raiseEpochs raises the epoch on request: to fence off commands that may still arrive, or to divide
+// the workers among other shard owners.
 func (k *shardKeeper) raiseEpochs(ctx context.Context) error {
 	for {
+		var reason string
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-k.epochSignal:
+		case reason = <-k.epochSignal:
 		}
 		err := k.leadership.RaiseEpoch(ctx, k.shards.EligibleOwners(k.leadership.ShardMap().Owners))
 		if errors.Is(err, election.ErrDeposed) {
 			return err
 		}
-		if err == nil { // after an error the epoch is requested again
-			k.mu.Lock()
-			shardMap := k.leadership.ShardMap()
-			for _, worker := range k.workers {
-				k.registry.assignOwner(worker, shardMap)
-			}
-			k.mu.Unlock()
+		if err == nil {
+			k.epochRaised(reason)
+		} else { // it is requested again
+			k.log.Info("epoch not raised", "epoch", k.leadership.Epoch(), "reason", reason, "err", err)
 		}
 		// At most once per heartbeat interval: each new epoch makes every worker report.
 		if !retry.Sleep(ctx, k.settings.HeartbeatInterval()) {
@@ -69,6 +67,18 @@
 	}
 }
 
+// epochRaised records a new epoch, and which controllers answer the workers under it.
+func (k *shardKeeper) epochRaised(reason string) {
+	k.epochRaises.add(reason)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	shardMap := k.leadership.ShardMap()
+	k.log.Info("epoch raised", "epoch", shardMap.Epoch, "reason", reason)
+	for _, worker := range k.workers {
+		k.registry.assignOwner(worker, shardMap)
+	}
+}
+
 // watchShardOwners requests a new shard map when the eligible owners change, and steps down when
 // the store refuses this controller but serves a peer. A term that has stepped down continues
 // until its successor is known or, if there is none, until the store has been available for a
@@ -98,9 +108,11 @@
 		// workers then know the higher epoch, and this leader would reject the workers'
 		// heartbeats.
 		owners := k.leadership.ShardMap().Owners
-		if !slices.Equal(owners, k.shards.EligibleOwners(owners)) ||
-			k.elector.ShardMap().Epoch > k.leadership.Epoch() {
-			notify(k.epochSignal)
+		switch {
+		case !slices.Equal(owners, k.shards.EligibleOwners(owners)):
+			k.requestEpoch(epochForShardOwners)
+		case k.elector.ShardMap().Epoch > k.leadership.Epoch():
+			k.requestEpoch(epochForLateRaise)
 		}
 	}
 	return ctx.Err()
--- a/internal/leader/taskevents.go
+++ b/internal/leader/taskevents.go
@@ -72,7 +72,7 @@
 		if other == ended || other.Finished {
 			continue
 		}
-		other.Stopping = true
+		other.Stop(stopGangEnded)
 		h.auditLog.enqueueTask(now, audit.Stopped, other, stopGangEnded, "")
 		if worker := h.workers[other.Worker]; worker != nil {
 			worker.WakeSender()
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -52,6 +52,8 @@
 	RunningSince time.Time
 	// Stopping is set once the leader has decided to stop the task.
 	Stopping bool
+	// StopReason says why, for logs.
+	StopReason string
 	// Audited is set once the claim is in the audit log or in a block being written to it. The
 	// caller sets it.
 	Audited bool
@@ -60,6 +62,9 @@
 	Unconfirmed bool
 }
 
+// Stop records the decision to stop the task, and why.
+func (c *Claim) Stop(reason string) { c.Stopping, c.StopReason = true, reason }
+
 // Task returns the claimed task.
 func (c *Claim) Task() Task { return Task{c.Job.ID, c.Index} }
 
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -58,6 +58,13 @@
 		"Terms that this controller has begun to lead.", nil, nil)
 	epochMetric = prometheus.NewDesc(metricName("", "epoch"),
 		"The highest epoch that this controller knows of.", nil, nil)
+	epochRaisesMetric = prometheus.NewDesc(metricName("", "epoch_raises_total"),
+		"Raises of the epoch by this controller, by the reason for which one was requested.", []string{"reason"}, nil)
+	heldExitsMetric = prometheus.NewDesc(metricName("", "held_exits"),
+		"Exited attempts that workers must not forget, as a copy of a start command could start them again.", nil, nil)
+	oldestHeldExitMetric = prometheus.NewDesc(metricName("", "oldest_held_exit_seconds"),
+		"Age of the oldest exited attempt that its worker must not forget; 0 where there is none or another leads.",
+		nil, nil)
 	pendingCancellationMetric = prometheus.NewDesc(metricName("", "oldest_pending_cancellation_seconds"),
 		"Age of the oldest cancellation that has not reached all dependents; 0 where none is pending or another leads.",
 		nil, nil)
@@ -94,6 +101,12 @@
 	gauge(leaderMetric, leading)
 	counter(leaderTermsMetric, float64(c.elector.TermsBegun()))
 	gauge(epochMetric, float64(c.elector.ShardMap().Epoch))
+	for reason, count := range c.leader.EpochRaises() {
+		counter(epochRaisesMetric, float64(count), reason)
+	}
+	held := c.leader.HeldExits()
+	gauge(heldExitsMetric, float64(held.Count))
+	gauge(oldestHeldExitMetric, held.OldestAge.Seconds())
 	gauge(pendingCancellationMetric, c.leader.OldestPendingCancellation().Seconds())
 	for _, operations := range c.store.OperationCounts() {
 		change := "put"
--- a/internal/sim/randomfaults_test.go
+++ b/internal/sim/randomfaults_test.go
@@ -59,6 +59,14 @@
 		time.Sleep(duration)
 		m.world.duplicateHeartbeats(0)
 	}},
+	{"late copies of commands", func(m *scenario, controller int, duration time.Duration) {
+		m.world.repeatCommands(float64(1+m.world.intN(4)) / 4)
+		time.Sleep(duration)
+		m.world.repeatCommands(0) // copies made so far arrive up to two minutes later
+	}},
+	{"workers restart within a second", func(m *scenario, controller int, duration time.Duration) {
+		m.restartWorkers(m.randomWorkers(0.5), time.Duration(50+m.world.intN(900))*time.Millisecond)
+	}},
 	{"responses to workers lost", func(m *scenario, controller int, duration time.Duration) {
 		m.injectWorkerFault(m.randomWorkers(0.5), duration, dropResponses)
 	}},
