Read a batch without an answer before it is given up for its size

What callers saw: the store carried a transaction out without an answer, lowered its limits and refused the transaction for its size when it was sent again. The leader then suspected a loss of data and the deployment went into recovery for nothing.

Cause: commitBatch reverted the job table without looking; the compares of the batch built in its place failed on a chunk under a writer's name that the leader no longer knew.

Change: the batch is read. If it was applied, the job table takes it in and the leader goes on. If not, it may still be applied for as long as the leader key stands, so the term ends, and the next leader reads what is stored for good.

--- a/internal/leader/claimcommit.go
+++ b/internal/leader/claimcommit.go
@@ -44,10 +44,9 @@
 			default:
 				return w.compareFailed(ctx, batch, failed)
 			}
-		case errors.Is(err, kvstore.ErrRefused) && !uncertain, errors.Is(err, kvstore.ErrTooLarge):
-			// A transaction over the limits is never sent again unchanged, not even to find out
-			// whether it was applied before the limits were lowered: the batch built in its
-			// place has the same compares, and their result shows that.
+		case errors.Is(err, kvstore.ErrTooLarge) && uncertain:
+			return w.resolveOversized(ctx, batch)
+		case errors.Is(err, kvstore.ErrRefused) && !uncertain:
 			w.batchFailed(batch)
 			return err
 		case errors.Is(err, kvstore.ErrOutcomeUnknown):
@@ -59,6 +58,28 @@
 	}
 }
 
+// errOutcomeUnresolved ends a term whose job table may or may not hold what the store does.
+var errOutcomeUnresolved = errors.New("leader: transaction over the lowered limits may still be applied")
+
+// resolveOversized handles a batch whose first attempt had no answer, and which the store has since
+// refused for its size, so that it must not be sent again. If it was not applied it still may be, as long
+// as this term lasts: all writes compare the leader key, so the next leader finds what is stored for good.
+func (w *claimWriter) resolveOversized(ctx context.Context, batch *auditedBatch) error {
+	for attempt := 0; ; attempt++ {
+		outcome, err := w.readOutcome(ctx, batch)
+		switch {
+		case err == nil && outcome.applied:
+			w.batchCommitted(batch, outcome.revision)
+			return nil
+		case err == nil:
+			return errOutcomeUnresolved
+		}
+		if !w.backOffWrite(ctx, attempt) {
+			return ctx.Err()
+		}
+	}
+}
+
 // readOutcome reads whether an earlier attempt at this batch was applied and made the compares of
 // the later one fail. Audit blocks and chunks of claims identify their writer.
 func (w *claimWriter) readOutcome(ctx context.Context, batch *auditedBatch) (txnOutcome, error) {
--- a/internal/leader/claimcommit_test.go
+++ b/internal/leader/claimcommit_test.go
@@ -106,6 +106,14 @@
 			if errors.Is(err, dataloss.ErrIncarnationReplaced) || leader.dataLossSuspected() {
 				t.Errorf("data loss suspected: %v", err)
 			}
+			if endsTerm := errors.Is(err, errOutcomeUnresolved); endsTerm != appliesLate {
+				t.Errorf("the term ends: %v (%v), want %v: only a new leader's key fences off the batch", endsTerm, err, appliesLate)
+			}
+			for _, claim := range leader.jobs.ClaimsOfJob(job) {
+				if claim.Committed == appliesLate {
+					t.Errorf("claim of task %d is committed: %v, want %v", claim.Index, claim.Committed, !appliesLate)
+				}
+			}
 		})
 	}
 }
