--- a/internal/leader/autoscaler.go
+++ b/internal/leader/autoscaler.go
@@ -103,18 +103,16 @@
 	return a.planner.Plan(instanceTypes, instances, a.demand(instances, now), now)
 }
 
-// markIdleReleased marks the instances that the plan releases and returns their names. It skips
-// workers on which a task was claimed since the plan was made.
+// markIdleReleased marks the instances that the plan releases, as many as one request may name, and returns
+// their names. It skips workers on which a task was claimed since the plan was made.
 func (a *autoscaler) markIdleReleased(plan fleet.Plan, now time.Time) []string {
 	var idle []string
 	for _, name := range plan.Release {
-		if len(a.jobs.ClaimsOnWorker(name)) == 0 {
-			idle = append(idle, name)
-			a.logRelease(name, releaseIdle, now)
+		if len(a.jobs.ClaimsOnWorker(name)) > 0 || len(idle) == maxReleaseNames {
+			continue
 		}
-	}
-	idle = idle[:min(len(idle), maxReleaseNames)]
-	for _, name := range idle {
+		idle = append(idle, name)
+		a.logRelease(name, releaseIdle, now)
 		a.released[name] = time.Time{} // the worker gets no new tasks from here on
 	}
 	return idle
--- a/internal/leader/cancellations.go
+++ b/internal/leader/cancellations.go
@@ -143,12 +143,12 @@
 	return false
 }
 
-// overdueWorkers returns the workers that must be released because of an overdue cancelled task,
-// including those whose release was requested but not confirmed.
+// overdueWorkers returns the workers that must be released because of an overdue cancelled task, as many
+// as one request may name, including those whose release was requested but not confirmed.
 func (c *cancellations) overdueWorkers(now time.Time) []string {
 	var names []string
 	for _, worker := range c.workersByName {
-		if !c.hasOverdueTask(worker, now) {
+		if !c.hasOverdueTask(worker, now) || len(names) == maxReleaseNames {
 			continue
 		}
 		if _, releasing := c.released[worker.Name]; !releasing {
--- a/internal/leader/failures.go
+++ b/internal/leader/failures.go
@@ -121,7 +121,6 @@
 		} else {
 			names = m.cancellations.overdueWorkers(now)
 		}
-		names = names[:min(len(names), maxReleaseNames)]
 		for _, name := range names {
 			if m.released[name].IsZero() {
 				m.released[name] = time.Time{} // the worker gets no new tasks from here on
@@ -135,15 +134,15 @@
 	return ctx.Err()
 }
 
-// faultyWorkers returns the workers whose instances are to be released: failed and silent ones,
-// those that do not come up, and those that fail their tasks.
+// faultyWorkers returns the workers whose instances are to be released, as many as one request may name:
+// failed and silent ones, those that do not come up, and those that fail their tasks.
 func (m *failureMonitor) faultyWorkers(now time.Time) []string {
 	instanceTypes := m.instanceTypes.InstanceTypes()
 	m.observeSilence(now)
 	var names []string
 	for _, worker := range m.workersByName {
 		reason := m.releaseReason(worker, instanceTypes[worker.InstanceType], now)
-		if reason == "" {
+		if reason == "" || len(names) == maxReleaseNames {
 			continue
 		}
 		if reason != releaseUnanswered {
--- a/internal/leader/failures_test.go
+++ b/internal/leader/failures_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
 	"rillflow/internal/agent"
+	"rillflow/internal/fleet"
 	"rillflow/internal/wire"
 )
 
@@ -166,3 +169,38 @@
 		})
 	}
 }
+
+// Guards against releases that are logged and audited, but not sent: one request names a hundred instances at most.
+func TestReleasesAreLoggedOnlyIfSent(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		release func(leader *leaderTerm, names []string) []string
+	}{
+		{"idle", func(leader *leaderTerm, names []string) []string {
+			return leader.autoscaler.markIdleReleased(fleet.Plan{Release: names}, now)
+		}},
+		{"failed", func(leader *leaderTerm, names []string) []string {
+			for _, name := range names {
+				leader.instances[name] = wire.Instance{Name: name, Phase: wire.InstanceFailed}
+			}
+			return leader.failures.faultyWorkers(now)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			leader := newTestTerm(t)
+			var logged strings.Builder
+			leader.log = slog.New(slog.NewTextHandler(&logged, nil))
+			var names []string
+			for i := range maxReleaseNames + 50 {
+				worker := agent.NewWorker(fmt.Sprintf("i-%06d", i))
+				worker.LastHeartbeat, worker.LastAnswered, worker.LastUpdate = now, now, now
+				leader.addWorker(worker)
+				names = append(names, worker.Name)
+			}
+			released := tc.release(leader, names)
+			if count := strings.Count(logged.String(), "msg=releasing"); len(released) != maxReleaseNames || count != len(released) {
+				t.Errorf("got %d releases and %d log lines, want %d of each", len(released), count, maxReleaseNames)
+			}
+		})
+	}
+}
