Metrics: count transactions that waited too long as unsent, keep the order of counters

Change: errors of the budget have a type of their own, by which they are told apart; counters are ordered by prefix, outcome and kind.

--- a/internal/kvstore/budget.go
+++ b/internal/kvstore/budget.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync/atomic"
 	"time"
 )
@@ -75,16 +74,27 @@
 	startedAt := time.Now()
 	err := b.requests.wait(ctx, priority, 1, maxWait)
 	if err != nil {
-		err = fmt.Errorf("request budget: %w", err)
+		err = &unsentError{"request budget", err}
 	} else if writes > 0 {
 		if err = b.writes.wait(ctx, priority, writes, maxWait); err != nil {
-			err = fmt.Errorf("write budget: %w", err)
+			err = &unsentError{"write budget", err}
 		}
 	}
 	b.usage[priority].recordWait(time.Since(startedAt), err)
 	return err
 }
 
+// unsentError means that a request was not sent, as a budget did not allow it or its context ended while it
+// waited.
+type unsentError struct {
+	budget string
+	err    error
+}
+
+func (e *unsentError) Error() string { return e.budget + ": " + e.err.Error() }
+
+func (e *unsentError) Unwrap() error { return e.err }
+
 // adjustRate sets the request rate of this process's present role. The lease ensures that no two
 // processes use the leader's rate at once.
 func (b *budget) adjustRate() {
--- a/internal/kvstore/operations.go
+++ b/internal/kvstore/operations.go
@@ -74,7 +74,8 @@
 // isUnsent reports whether a request failed because this process's budget did not allow it, so that
 // the store never received it.
 func isUnsent(requestError *RequestError) bool {
-	return errors.Is(requestError.Cause, errQueueFull) || errors.Is(requestError.Cause, errDeadlineTooClose)
+	var unsent *unsentError
+	return errors.As(requestError.Cause, &unsent)
 }
 
 // OperationCounts returns all counters of operations, in a fixed order.
@@ -86,7 +87,18 @@
 		counts = append(counts, OperationCount{key.prefix, key.isDelete, key.outcome, count})
 	}
 	slices.SortFunc(counts, func(a, b OperationCount) int {
-		return cmp.Or(cmp.Compare(a.Prefix, b.Prefix), cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(b.Count, a.Count))
+		return cmp.Or(cmp.Compare(a.Prefix, b.Prefix), cmp.Compare(a.Outcome, b.Outcome), compareBool(a.IsDelete, b.IsDelete))
 	})
 	return counts
 }
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
