Identities: tell a refused change from one of unknown outcome

Change: the error says unknown if and only if an attempt had no answer.

Measured: TestOutcomeOfRefusedChange failed in two of its four cases before and passes now.

--- a/internal/identity/admin.go
+++ b/internal/identity/admin.go
@@ -89,14 +89,23 @@
 		case errors.Is(err, kvstore.ErrOutcomeUnknown):
 			outcomeUnknown = true
 		case errors.Is(err, kvstore.ErrTooLarge):
-			return err
+			return outcomeError(err, outcomeUnknown)
 		}
 		if attempt == maxAttempts || !retry.Backoff(ctx, attempt, 100*time.Millisecond, 2*time.Second) {
-			return fmt.Errorf("identity: outcome of the change is unknown, see token list: %w", err)
+			return outcomeError(err, outcomeUnknown)
 		}
 	}
 }
 
+// outcomeError returns the error of a transaction that is not sent again. If an earlier attempt had no answer,
+// the transaction may have been applied, or may yet be.
+func outcomeError(err error, outcomeUnknown bool) error {
+	if outcomeUnknown {
+		return fmt.Errorf("identity: outcome of the change is unknown, see token list: %w", err)
+	}
+	return fmt.Errorf("identity: not changed: %w", err)
+}
+
 // isStored reports whether a key holds the value that an operation puts there.
 func (admin *Admin) isStored(ctx context.Context, put wire.Operation) (bool, error) {
 	item, err := admin.Store.Get(ctx, put.Put)
--- a/internal/identity/identity_test.go
+++ b/internal/identity/identity_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"rillflow/internal/keyring/keyringtest"
@@ -15,11 +16,12 @@
 )
 
 // fakeStore is an in-memory store. Its next lostResponses commits take effect, but report an unknown
-// outcome.
+// outcome; later ones fail with refusal if it is set.
 type fakeStore struct {
 	items         map[string]wire.KeyValue
 	revision      uint64
 	lostResponses int
+	refusal       error
 }
 
 func (store *fakeStore) Get(_ context.Context, key string) (wire.KeyValue, error) {
@@ -40,6 +42,9 @@
 }
 
 func (store *fakeStore) Commit(_ context.Context, txn wire.Txn) (uint64, []string, error) {
+	if store.lostResponses == 0 && store.refusal != nil {
+		return 0, nil, store.refusal
+	}
 	for _, compare := range txn.Compares {
 		if store.items[compare.Key].ModRevision != compare.ModRevision {
 			return 0, []string{compare.Key}, nil
@@ -164,3 +169,31 @@
 		t.Error("the name of a revoked identity was issued again")
 	}
 }
+
+// Guards against a change that is called refused although an earlier attempt may have stored it, and against one
+// whose outcome is called unknown although every attempt was refused.
+func TestOutcomeOfRefusedChange(t *testing.T) {
+	ring, now := keyringtest.New(t), time.Unix(1_764_600_000, 0)
+	for _, tc := range []struct {
+		name          string
+		lostResponses int
+		refusal       error
+		wantUnknown   bool
+	}{
+		{"refused for its size", 0, kvstore.ErrTooLarge, false},
+		{"refused for its size after an attempt without an answer", 1, kvstore.ErrTooLarge, true},
+		{"refused each time", 0, kvstore.ErrRefused, false},
+		{"refused after an attempt without an answer", 1, kvstore.ErrRefused, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &fakeStore{items: map[string]wire.KeyValue{}, lostResponses: tc.lostResponses, refusal: tc.refusal}
+				admin := &Admin{Store: store, Ring: ring, Now: func() time.Time { return now }}
+				err := admin.commitOnce(t.Context(), wire.Txn{Operations: []wire.Operation{{Put: "i/p/ana", Value: []byte("{}")}}})
+				if !errors.Is(err, tc.refusal) || strings.Contains(err.Error(), "unknown") != tc.wantUnknown {
+					t.Errorf("got error %v, want one that calls the outcome unknown: %v", err, tc.wantUnknown)
+				}
+			})
+		})
+	}
+}
