--- a/cmd/rillflow/snapshot.go
+++ b/cmd/rillflow/snapshot.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	dialer := net.Dialer{Timeout: config.HeartbeatInterval()}
-	limits := config.Facts.Store
+	limits := config.Facts.Store.Lowest()
 	store := kvstore.New(kvstore.Options{
 		Addr: config.Services.Store, RequestsPerSecond: limits.RPS / 8,
 		Limits:  kvstore.Limits{WritesPerSecond: 1, MaxValueBytes: int(limits.ValueKB * 1024)},
