--- a/cmd/rillflow/audit.go
+++ b/cmd/rillflow/audit.go
@@ -21,87 +21,6 @@
 	Export auditExportCmd `cmd:"" help:"Write the record to segments in a folder, to be kept elsewhere."`
 }
 
-// auditSource is where the audit log is read from: exported segments first, then the store.
-type auditSource struct {
-	settingsFiles
-	Segments string `help:"A folder of exported segments, that come before what the state service has." placeholder:"DIR"`
-	Offline  bool   `help:"Read the segments alone."`
-}
-
-// faults are the errors found in an audit log.
-type faults []error
-
-func (f *faults) add(err error) { *f = append(*f, err) }
-
-// read verifies the audit log and calls visit for each valid block, oldest first.
-func (source *auditSource) read(
-	ctx context.Context, session *session, visit func(*audit.Block),
-) (*audit.Verifier, faults, error) {
-	var found faults
-	verifier := audit.NewVerifier(session.ring, audit.Head{})
-	if source.Segments != "" {
-		if err := readSegments(source.Segments, session.ring, verifier, visit, &found); err != nil {
-			return nil, nil, err
-		}
-	}
-	if source.Offline {
-		return verifier, found, nil
-	}
-	archive, err := audit.Read(ctx, session.store, session.ring)
-	if err != nil {
-		return nil, nil, err
-	}
-	for _, fault := range archive.Faults {
-		found.add(fault)
-	}
-	if source.Segments == "" {
-		verifier = audit.NewVerifier(session.ring, archive.TrimmedHead)
-	} else if verifier.Head().Seq < archive.TrimmedHead.Seq {
-		found.add(fmt.Errorf("blocks %d to %d, trimmed after their export, are in no segment here: %w",
-			verifier.Head().Seq+1, archive.TrimmedHead.Seq, audit.ErrGap))
-		verifier = audit.NewVerifier(session.ring, archive.TrimmedHead)
-	}
-	for _, raw := range archive.Blocks {
-		if block, err := audit.Open(raw); err == nil && block.Seq <= verifier.Head().Seq && source.Segments != "" {
-			continue // already read from a segment: exported, but not trimmed yet
-		}
-		block, err := verifier.Add(raw)
-		if err != nil {
-			found.add(err)
-			continue
-		}
-		visit(block)
-	}
-	return verifier, found, nil
-}
-
-// readSegments verifies the segments in a directory and calls visit for each valid block. The
-// fault of an invalid segment is added to found, and reading continues with the next segment.
-func readSegments(
-	dir string, ring *keyring.Ring, verifier *audit.Verifier, visit func(*audit.Block), found *faults,
-) error {
-	names, err := filepath.Glob(filepath.Join(dir, "*"+segmentSuffix))
-	if err != nil {
-		return err
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		raw, err := os.ReadFile(name)
-		if err != nil {
-			return err
-		}
-		segment, err := audit.OpenSegment(ring, raw)
-		if err != nil {
-			found.add(fmt.Errorf("%s: %w", filepath.Base(name), err))
-			continue
-		}
-		segment.Verify(verifier, visit, func(err error) { found.add(fmt.Errorf("%s: %w", filepath.Base(name), err)) })
-	}
-	return nil
-}
-
-const segmentSuffix = ".rfseg"
-
 type auditVerifyCmd struct {
 	auditSource
 	Expect string `help:"A head that was written down, NUMBER:DIGEST: the record must contain it." placeholder:"HEAD"`
@@ -139,16 +58,7 @@
 	if !headFound {
 		found.add(fmt.Errorf("the head %s is not in the record: it was cut off, or written anew", c.Expect))
 	}
-	// Job histories can only be checked if the log is complete and valid.
-	if isComplete := verifier.First() == 1 && len(found) == 0; isComplete {
-		for _, job := range history.Jobs {
-			for _, fault := range job.Faults {
-				found.add(fmt.Errorf("job %s: %s", job.Job, fault))
-			}
-		}
-	} else {
-		fmt.Println("only the blocks were checked: what jobs did cannot be judged by a part of the record")
-	}
+	checkHistory(history, verifier, &found)
 	if newestBlock > verifier.Head().Seq {
 		found.add(fmt.Errorf("%s refers to block %d, and the record ends at %d: %w",
 			referringKey, newestBlock, verifier.Head().Seq, audit.ErrGap))
@@ -160,6 +70,25 @@
 	if history.Missed > 0 {
 		fmt.Printf("%d entries tell that others were left out for lack of room: audit show --act missed\n", history.Missed)
 	}
+	return printVerdict(found)
+}
+
+// checkHistory adds the faults in the histories of jobs. They can only be checked if the log is complete and
+// valid.
+func checkHistory(history *audit.History, verifier *audit.Verifier, found *faults) {
+	if verifier.First() != 1 || len(*found) > 0 {
+		fmt.Println("only the blocks were checked: what jobs did cannot be judged by a part of the record")
+		return
+	}
+	for _, job := range history.Jobs {
+		for _, fault := range job.Faults {
+			found.add(fmt.Errorf("job %s: %s", job.Job, fault))
+		}
+	}
+}
+
+// printVerdict prints the faults, and returns an error if there are any.
+func printVerdict(found faults) error {
 	if len(found) == 0 {
 		fmt.Println("sound")
 		return nil
--- a/internal/audit/entry.go
+++ b/internal/audit/entry.go
@@ -30,8 +30,8 @@
 	Cancelled                   // (*) Subject: the job. Reason: the cancelled job it depends on, if any
 	Refused                     // (*) Subject: the job. Reason: the rule, Purpose: the refused operation
 	Claimed                     // Subject: the job, Tasks: its claimed tasks and their workers
-	Freed                       // Subject: the job, Tasks: freed without being done. Reason: the proof that they no longer run
-	Stopped                     // Subject: the job, Tasks: ordered to stop. Reason: the rule, Purpose: the preempting job, if any
+	Freed                       // Subject: the job, Tasks: freed, not done. Reason: the proof that they no longer run
+	Stopped                     // Subject: the job, Tasks: to stop. Reason: the rule, Purpose: the preempting job, if any
 	Done                        // Subject: the job
 	Released                    // Subject: a worker. Reason: why it was released
 	TookOver                    // Subject: the new leader, Reason: its epoch
--- a/internal/audit/history.go
+++ b/internal/audit/history.go
@@ -86,9 +86,11 @@
 		for _, task := range entry.Tasks {
 			// A freed claim remains in the job's stored claims until the next claim is
 			// written, so a new leader may free it a second time.
-			if claim, ok := job.claims[task.Index]; (!ok || claim.Attempt != task.Attempt) && job.lastFreed[task.Index] != task.Attempt {
+			claim, ok := job.claims[task.Index]
+			isClaimed := ok && claim.Attempt == task.Attempt
+			if !isClaimed && job.lastFreed[task.Index] != task.Attempt {
 				job.addFault(entry, "task %d, try %d was not claimed", task.Index, task.Attempt)
-			} else if ok && claim.Attempt == task.Attempt {
+			} else if isClaimed {
 				delete(job.claims, task.Index)
 			}
 			job.lastFreed[task.Index] = task.Attempt
