Ledger: encode the end of a job before its batch is touched

Change: the record is encoded first, and a failure leaves the chunk for a later batch. Measured: the ledger's tests and golden files pass as they were.

--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -156,6 +157,14 @@
 func (b *batchBuilder) add(ref chunkRef) bool {
 	job, chunk := ref.job, ref.chunk()
 	write := chunkWrite{chunkRef: ref}
+	endsJob := job.Finished && !b.comparedJobs[job.ID]
+	var endRecord json.RawMessage
+	if endsJob {
+		var err error
+		if endRecord, err = b.encodeEnd(job); err != nil {
+			return false
+		}
+	}
 	switch {
 	case job.Cancelled && len(chunk.claims) > 0:
 		chunk.dirty = false // nothing to write until the claims are freed
@@ -176,9 +185,9 @@
 	write.claims, write.finished = ref.uncommittedChanges()
 	if (len(write.claims) > 0 || job.Finished) && !b.comparedJobs[job.ID] {
 		b.compareLiveKey(job)
-		if job.Finished && !b.endJob(&write) {
-			return true
-		}
+	}
+	if endsJob {
+		b.endJob(&write, endRecord)
 	}
 	chunk.dirty = false
 	chunk.inFlightBatch = b.batchNumber
@@ -234,22 +243,20 @@
 	b.compare(LiveKey(job.ID), job.modRevision)
 }
 
-// endJob replaces the job's record by its end record. It returns false if the end record cannot be
-// encoded, which cannot happen, since it has only strings and integers.
-func (b *batchBuilder) endJob(write *chunkWrite) bool {
-	job := write.job
-	write.endsJob = true
-	write.endedAt = b.now
-	end, err := Encode(EndRecord{
+// encodeEnd returns the end record of a job.
+func (b *batchBuilder) encodeEnd(job *Job) (json.RawMessage, error) {
+	return Encode(EndRecord{
 		Phase: wire.PhaseDone, Tasks: job.Spec.TaskCount, ChunkTasks: job.chunkTasks,
 		EndedMS: b.now.UnixMilli(), Team: job.recordedTeam(), AuditBlock: b.limits.AuditBlock,
 	})
-	if err != nil {
-		return false
-	}
+}
+
+// endJob replaces the job's record by its end record.
+func (b *batchBuilder) endJob(write *chunkWrite, endRecord json.RawMessage) {
+	write.endsJob = true
+	write.endedAt = b.now
 	b.batch.Operations = append(b.batch.Operations,
-		wire.Operation{Delete: LiveKey(job.ID)}, wire.Operation{Put: EndedKey(job.ID), Value: end})
-	return true
+		wire.Operation{Delete: LiveKey(write.job.ID)}, wire.Operation{Put: EndedKey(write.job.ID), Value: endRecord})
 }
 
 func (b *batchBuilder) compare(key string, modRevision uint64) {
