Orphans: no look-up for tasks that this term has known, room for new ones

Cause: any reported task without a job in the table was taken for an orphan, also if this term had started it, and jobs found ended kept their place for the rest of the term.

Change: an attempt that this term started directly, or has had reported as the task of a job, is no orphan; ended jobs are dropped once no worker reports a task of theirs.

--- a/internal/leader/heartbeats.go
+++ b/internal/leader/heartbeats.go
@@ -173,18 +173,22 @@
 	return isClaimed || attempt.Phase != wire.TaskExited || earlier.Phase == wire.TaskExited
 }
 
-// taskStatus converts a reported task, and sets since when it has been in its phase.
+// taskStatus converts a reported task, and sets since when it has been in its phase. An attempt that this term
+// has known as a task of a job is no orphan once the job has ended and left the job table.
 func (h *heartbeatReconciler) taskStatus(
 	worker *agent.Worker, task ledger.Task, reported wire.TaskStatus, now time.Time,
 ) agent.TaskStatus {
 	current := agent.TaskStatus{
-		Attempt: reported.Attempt, Phase: reported.Phase, EndCause: reported.ExitReason,
-		Since: now, Orphaned: h.orphans.isOrphan(task),
+		Attempt: reported.Attempt, Phase: reported.Phase, EndCause: reported.ExitReason, Since: now,
 	}
 	previous, ok := worker.Tasks[task]
-	if ok && previous.Attempt == reported.Attempt && previous.Phase == reported.Phase {
+	wasReported := ok && previous.Attempt == reported.Attempt
+	if wasReported && previous.Phase == reported.Phase {
 		current.Since = previous.Since
 	}
+	_, wasStarted := worker.DirectStarts[agent.Attempt{Task: task, Number: reported.Attempt}]
+	isKnown := wasStarted || wasReported && !previous.Orphaned
+	current.Orphaned = !isKnown && h.orphans.isOrphan(task)
 	return current
 }
 
--- a/internal/leader/orphans.go
+++ b/internal/leader/orphans.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -59,6 +60,7 @@
 func (o *orphanTracker) resolveOrphans(ctx context.Context) error {
 	for retry.Sleep(ctx, o.settings.HeartbeatInterval()/2) {
 		o.mu.Lock()
+		o.dropEnded()
 		unresolved := o.unresolvedJobs()
 		o.reserveForOrphans()
 		o.mu.Unlock()
@@ -75,6 +77,23 @@
 	return ctx.Err()
 }
 
+// dropEnded removes the ended jobs of which no worker reports a task any more, so that they leave room for
+// others. Callers hold mu.
+func (o *orphanTracker) dropEnded() {
+	if len(o.orphanedJobs) == 0 {
+		return
+	}
+	reported := make(map[string]bool)
+	for _, worker := range o.workersByName {
+		for task := range worker.Tasks {
+			reported[task.JobID] = true
+		}
+	}
+	maps.DeleteFunc(o.orphanedJobs, func(jobID string, orphan *orphanedJob) bool {
+		return orphan.ended && !reported[jobID]
+	})
+}
+
 // unresolvedJobs returns the orphaned jobs for which no end record has been found, sorted. Callers
 // hold mu.
 func (o *orphanTracker) unresolvedJobs() []string {
