Cancellations: room for those merged from a peer after a restart

Cause: a restarted controller keeps what it merges from a peer as if it were new, and entries are pruned only every eighth of cancel_s; the capacity counted neither.

Change: Capacity counts both, 8,840 entries instead of 4,160 at 80 writes a second and a cancel_s of 52 s.

--- a/internal/cancellation/set.go
+++ b/internal/cancellation/set.go
@@ -52,6 +52,9 @@
 	// operationsPerCancellation is the number of store write operations that one
 	// cancellation takes.
 	operationsPerCancellation = 2
+	// capacityFactor leaves room for as many cancellations again: those that a restarted
+	// controller merges from a peer are retained anew, since their age is not known.
+	capacityFactor = 2
 )
 
 // New returns an empty set.
@@ -59,10 +62,12 @@
 	return &Set{options: options, startedAt: options.Now(), entries: make(map[string]*entry)}
 }
 
-// Capacity returns how many jobs can be cancelled within the retention period, given the
-// store's limit of write operations per second, which all controllers share.
+// Capacity returns how many cancellations a set must have room for: as many jobs as can be
+// cancelled until they are pruned, given the store's limit of write operations per second,
+// which all controllers share, and as many merged from a peer.
 func Capacity(writeRPS float64, stopDeadline time.Duration) int {
-	return int(writeRPS / operationsPerCancellation * retentionFactor * stopDeadline.Seconds())
+	prunedAfter := retentionFactor*stopDeadline + stopDeadline/pruneIntervalDivisor
+	return int(capacityFactor * writeRPS / operationsPerCancellation * prunedAfter.Seconds())
 }
 
 // Add records jobs whose cancellation has been committed and reports whether the set had
--- a/internal/cancellation/set_test.go
+++ b/internal/cancellation/set_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"reflect"
 	"slices"
 	"sync/atomic"
@@ -339,3 +340,31 @@
 		t.Errorf("got %d messages, the peer has %v, want 4 messages and req-4", peer.received, peer.JobIDs())
 	}
 }
+
+// Guards against cancellations that are not confirmed after a restart, because those merged from a peer, which
+// are retained once more from then on, leave no room for new ones.
+func TestMergedSetLeavesRoomForNewCancellations(t *testing.T) {
+	const writeRPS, stopDeadline = 80, time.Minute
+	now := time.Unix(1000, 0)
+	set := New(Options{
+		StopDeadline: stopDeadline, Capacity: Capacity(writeRPS, stopDeadline),
+		StoreUnavailable: func() bool { return false }, Now: func() time.Time { return now },
+	})
+	jobIDs := func(first, count int) (jobIDs []string) {
+		for i := range count {
+			jobIDs = append(jobIDs, fmt.Sprintf("req-%06d", first+i))
+		}
+		return jobIDs
+	}
+	const perSecond = writeRPS / operationsPerCancellation
+	const retentionSeconds = int(retentionFactor * stopDeadline / time.Second)
+	if !set.AddComplete("host-1", jobIDs(0, perSecond*retentionSeconds)...) {
+		t.Fatal("no room for a peer's cancellations")
+	}
+	for second := range 2 * retentionSeconds {
+		now = now.Add(time.Second)
+		if !set.Add("", jobIDs((retentionSeconds+second)*perSecond, perSecond)...) {
+			t.Fatalf("no room for a new cancellation %d s after the restart", second)
+		}
+	}
+}
