A leader that stood still releases nothing before it can know of a successor

Class of the fault: an action on stale knowledge.

Change: when the release loop slept for a heartbeat interval too long and the lease may have expired, nothing is released for one interval. A leader that the store refuses but that is running releases as early as before.

Measured: TestLeaderThatStoodStillReleasesNothing; without the condition its second and third step release the instance.

--- a/internal/leader/cancellations_test.go
+++ b/internal/leader/cancellations_test.go
@@ -69,3 +69,39 @@
 		})
 	}
 }
+
+// lapsedLeadership is a leadership whose lease may have expired.
+type lapsedLeadership struct{ fakeLeadership }
+
+func (*lapsedLeadership) LeaseHeld(time.Time) bool { return false }
+
+// Guards against a leader that stood still for longer than the deadline of cancelled tasks, and releases the
+// instances that its successor has long used for others when it goes on.
+func TestLeaderThatStoodStillReleasesNothing(t *testing.T) {
+	const interval = 3 * time.Second // between heartbeats
+	leader := newTestTerm(t)
+	leader.leadership = &lapsedLeadership{fakeLeadership{election.ShardMap{Epoch: 7, Owners: []string{"n"}}}}
+	leader.settings.Facts.Workers.CancelSeconds = 50
+	job := leader.addTestJob("req-1", wire.Job{Class: "f", TaskCount: 1, CPUs: 2})
+	leader.runTestTask(t, job, "h0", time.Minute)
+	job.CancelledAt = now
+	leader.jobs.Cancel("req-1")
+	at := now.Add(10 * time.Second)
+	for _, step := range []struct {
+		name    string
+		asleep  time.Duration
+		release bool
+	}{
+		{"before the deadline", leader.monitorInterval(), false},
+		{"just after standing still", time.Minute, false},
+		{"within a heartbeat interval", interval / 2, false},
+		{"after a heartbeat interval, no successor is known", interval, true},
+		{"refused by the store for as long, but running", leader.monitorInterval(), true},
+	} {
+		names, _ := leader.failures.nextReleases(at, at.Add(step.asleep))
+		at = at.Add(step.asleep)
+		if released := slices.Contains(names, "h0"); released != step.release {
+			t.Errorf("%s: got released %v, want %v", step.name, released, step.release)
+		}
+	}
+}
--- a/internal/leader/failures.go
+++ b/internal/leader/failures.go
@@ -33,6 +33,8 @@
 	cancellations *cancellations
 
 	detector *failuredetector.Detector
+
+	resumedAt time.Time // when runReleases last found that this process had stood still
 }
 
 // runMonitor periodically handles what no message triggers: cancelled tasks, expired leases,
@@ -111,21 +113,9 @@
 // replaced, it releases only instances on which a cancelled task would outlive its cancellation
 // deadline: that ends tasks and cannot start any.
 func (m *failureMonitor) runReleases(ctx context.Context) error {
-	for retry.Sleep(ctx, m.monitorInterval()) {
+	for asleepSince := m.now(); retry.Sleep(ctx, m.monitorInterval()); asleepSince = m.now() {
 		m.mu.Lock()
-		now := m.now()
-		leaseHeld := m.leadership.LeaseHeld(now)
-		var names []string
-		if leaseHeld {
-			names = m.faultyWorkers(now)
-		} else {
-			names = m.cancellations.overdueWorkers(now)
-		}
-		for _, name := range names {
-			if m.released[name].IsZero() {
-				m.released[name] = time.Time{} // the worker gets no new tasks from here on
-			}
-		}
+		names, leaseHeld := m.nextReleases(asleepSince, m.now())
 		m.mu.Unlock()
 		if len(names) > 0 && (!leaseHeld || m.leadership.LeaseHeld(m.now())) {
 			m.autoscaler.releaseInstances(ctx, names)
@@ -134,6 +124,29 @@
 	return ctx.Err()
 }
 
+// nextReleases marks the instances that are to be released now, and returns their names and whether this
+// leader cannot have been replaced. If it may have been while this process stood still, the tasks that it knows
+// may have ended, and others run in their place: it releases none until it had a heartbeat interval to
+// learn of a successor. asleepSince is when the loop went to sleep for monitorInterval. Callers hold mu.
+func (m *failureMonitor) nextReleases(asleepSince, now time.Time) (names []string, leaseHeld bool) {
+	if now.Sub(asleepSince) > m.monitorInterval()+m.settings.HeartbeatInterval() {
+		m.resumedAt = now
+	}
+	leaseHeld = m.leadership.LeaseHeld(now)
+	switch {
+	case leaseHeld:
+		names = m.faultyWorkers(now)
+	case now.Sub(m.resumedAt) >= m.settings.HeartbeatInterval():
+		names = m.cancellations.overdueWorkers(now)
+	}
+	for _, name := range names {
+		if m.released[name].IsZero() {
+			m.released[name] = time.Time{} // the worker gets no new tasks from here on
+		}
+	}
+	return names, leaseHeld
+}
+
 // faultyWorkers returns the workers whose instances are to be released, as many as one request may name:
 // failed and silent ones, those that do not come up, and those that fail their tasks.
 func (m *failureMonitor) faultyWorkers(now time.Time) []string {
