Log the commands of a message to a worker in one line

One line a message has the same: worker, incarnation, epoch, path, the attempts to start, stop and forget, and why each is stopped.

--- a/internal/leader/commandlog.go
+++ b/internal/leader/commandlog.go
@@ -1,6 +1,9 @@
 package leader
 
 import (
+	"fmt"
+	"log/slog"
+
 	"rillflow/internal/agent"
 	"rillflow/internal/ledger"
 	"rillflow/internal/wire"
@@ -12,39 +15,39 @@
 	pathAnswer = "answer" // to a heartbeat
 )
 
-// logCommands logs the commands for a worker, with the reason why each is allowed. Callers hold mu.
+// logCommands logs the commands of one message to a worker, stops with their reasons. A start is given since
+// the claim is committed, a forget since there is no claim and no start can arrive any more. Callers hold
+// mu.
 func (s *termScope) logCommands(worker *agent.Worker, batch wire.CommandBatch, path string) {
-	if len(batch.Commands) == 0 {
+	if len(batch.Commands) == 0 || !s.log.Enabled(s.ctx, slog.LevelInfo) {
 		return
 	}
 	claims := s.jobs.ClaimsOnWorker(worker.Name)
+	var starts, stops, forgets []string
 	for _, command := range batch.Commands {
-		task, _ := ledger.ParseTask(command.Task)
-		s.log.Info("command given", "action", commandNames[command.Action], "task", command.Task,
-			"attempt", command.Attempt, "worker", worker.Name, "incarnation", worker.Incarnation,
-			"epoch", batch.Epoch, "path", path, "reason", commandReason(command, claims[task]))
+		attempt := fmt.Sprintf("%s@%d", command.Task, command.Attempt)
+		switch command.Action {
+		case wire.ActionStart:
+			starts = append(starts, attempt)
+		case wire.ActionStop:
+			task, _ := ledger.ParseTask(command.Task)
+			stops = append(stops, attempt+": "+stopReason(command, claims[task]))
+		case wire.ActionForget:
+			forgets = append(forgets, attempt)
+		}
 	}
+	s.log.Info("commands given", "worker", worker.Name, "incarnation", worker.Incarnation, "epoch", batch.Epoch,
+		"path", path, "starts", starts, "stops", stops, "forgets", forgets)
 }
 
-// commandNames are the names of the commands in logs.
-var commandNames = map[string]string{
-	wire.ActionStart: "start", wire.ActionStop: "stop", wire.ActionForget: "forget",
-}
-
-// commandReason returns why a command is given for a task. claim is the claim of the task on the
-// worker, nil if there is none.
-func commandReason(command wire.Command, claim *ledger.Claim) string {
+// stopReason returns why a task is stopped. claim is the claim of the task on the worker, nil if there
+// is none.
+func stopReason(command wire.Command, claim *ledger.Claim) string {
 	switch {
-	case command.Action == wire.ActionForget:
-		return "no claim, and no start of it can arrive any more"
 	case claim == nil || claim.Attempt != command.Attempt:
 		return "no claim"
-	case command.Action == wire.ActionStart:
-		return "claim committed"
 	case claim.Job.Cancelled:
 		return "job cancelled"
-	case claim.Stopping:
-		return claim.StopReason
 	}
-	return "task ended"
+	return claim.StopReason
 }
