Test: a direct start is recorded until a higher epoch than its own is seen

Cause: the case of TestDirectStartIsRecordedUntilFenced for the same epoch did not reach the loop that drops records. Change: the start is given under the epoch that the worker then shows.

--- a/internal/agent/directstart_test.go
+++ b/internal/agent/directstart_test.go
@@ -31,25 +31,26 @@
 	now := time.Unix(1000, 0)
 	for _, tc := range []struct {
 		name   string
+		epoch  uint64 // of the direct start
 		change func(*Worker)
 		want   bool
 	}{
-		{"command answered", func(worker *Worker) { worker.CommandInFlight = false }, true},
-		{"the same epoch seen", func(worker *Worker) { worker.RecordSeenEpoch(7, now) }, true},
-		{"a higher epoch seen", func(worker *Worker) { worker.RecordSeenEpoch(8, now) }, false},
-		{"new incarnation", func(worker *Worker) { worker.BeginIncarnation(2) }, false},
+		{"command answered", 7, func(worker *Worker) { worker.CommandInFlight = false }, true},
+		{"the start's epoch seen", 8, func(worker *Worker) { worker.RecordSeenEpoch(8, now) }, true},
+		{"a higher epoch seen", 7, func(worker *Worker) { worker.RecordSeenEpoch(8, now) }, false},
+		{"new incarnation", 7, func(worker *Worker) { worker.BeginIncarnation(2) }, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			worker := NewWorker("i-1")
 			worker.Incarnation, worker.SeenEpoch = 1, 7
 			claim := newClaim(&ledger.Job{ID: "req-1"}, 1, committed)[0]
-			worker.Commands(map[ledger.Task]*ledger.Claim{claim.Task(): claim}, 7, false)
+			worker.Commands(map[ledger.Task]*ledger.Claim{claim.Task(): claim}, tc.epoch, false)
 			tc.change(worker)
-			if got := worker.MayStartAgain(attempt, 7); got != tc.want {
+			if got := worker.MayStartAgain(attempt, tc.epoch); got != tc.want {
 				t.Errorf("the direct start may start the attempt again: %v, want %v", got, tc.want)
 			}
-			if worker.MayStartAgain(attempt, 8) {
-				t.Error("a worker that knows epoch 8 executes a start of epoch 7")
+			if worker.MayStartAgain(attempt, tc.epoch+1) {
+				t.Error("a worker that knows a higher epoch executes the start")
 			}
 		})
 	}
