Capacity: an instance that a job is excluded from is no supply for it

Cause: the planner counted the cores of all instances of the offerings that can serve a task.

Change: task shapes name the instances that their job is excluded from at present; such tasks have a supply of their own without these, in the passes that request and in those that keep instances. A job that fails on healthy workers gets none, or a submission with a mistake would have instances requested for it.

Measured: the case "the only instance that fits is excluded" of TestConstrainedTasksHaveTheirOwnSupply got no request before; TestExcludedInstancesOfDemand.

--- a/internal/fleet/constrained.go
+++ b/internal/fleet/constrained.go
@@ -9,16 +9,18 @@
 )
 
 // constrainedSupply is the supply of tasks that only part of the offerings can serve, because of their
-// size, instance type or zone. Cores of other offerings are of no use to them.
+// size, instance type or zone, or only part of the instances, because they failed on the others. Cores
+// elsewhere are of no use to them.
 type constrainedSupply struct {
 	offerings     map[offering]bool // that can serve the tasks
+	excluded      []string          // names, sorted, of instances of these that cannot
 	spotAllowed   bool              // the tasks may run on spot instances
 	neededCores   float64           // of all tasks that no other offering can serve
 	cores         float64           // available
 	drainingCores float64
 }
 
-// constrainedSupplies returns the supplies of all tasks that not every offering can serve, those of the
+// constrainedSupplies returns the supplies of all tasks that not every instance can serve, those of the
 // fewest offerings first. neededSpotShare is the share of the cores of spot work that is needed now.
 func (p *pass) constrainedSupplies(neededSpotShare float64) []*constrainedSupply {
 	shapes := p.demand.TaskShapes
@@ -27,13 +29,18 @@
 	for i, shape := range shapes {
 		var servesAll bool
 		offerings[i], servesAll = p.offeringsFor(shape)
-		isSame := func(supply *constrainedSupply) bool { return maps.Equal(supply.offerings, offerings[i]) }
-		if !servesAll && len(offerings[i]) > 0 && !slices.ContainsFunc(supplies, isSame) {
-			supplies = append(supplies, &constrainedSupply{offerings: offerings[i], spotAllowed: shape.SpotAllowed})
+		isSame := func(supply *constrainedSupply) bool {
+			return maps.Equal(supply.offerings, offerings[i]) && slices.Equal(supply.excluded, shape.ExcludedInstances)
+		}
+		isConstrained := !servesAll || len(shape.ExcludedInstances) > 0
+		if isConstrained && len(offerings[i]) > 0 && !slices.ContainsFunc(supplies, isSame) {
+			supplies = append(supplies, &constrainedSupply{
+				offerings: offerings[i], excluded: shape.ExcludedInstances, spotAllowed: shape.SpotAllowed,
+			})
 		}
 	}
 	for _, supply := range supplies {
-		supply.neededCores = p.demand.coresWithin(supply.offerings, offerings, neededSpotShare)
+		supply.neededCores = p.demand.coresWithin(supply, offerings, neededSpotShare)
 		p.countSupply(supply)
 	}
 	slices.SortStableFunc(supplies, func(a, b *constrainedSupply) int {
@@ -61,16 +68,20 @@
 	return offerings, servesAll
 }
 
-// coresWithin returns the cores of the tasks that only the given offerings can serve, of each team up
-// to its quota limit. shapeOfferings holds those that can serve each task shape.
+// coresWithin returns the cores of the tasks that only the given supply can serve, of each team up to
+// its quota limit. shapeOfferings holds the offerings that can serve each task shape.
 func (d Demand) coresWithin(
-	offerings map[offering]bool, shapeOfferings []map[offering]bool, neededSpotShare float64,
+	supply *constrainedSupply, shapeOfferings []map[offering]bool, neededSpotShare float64,
 ) float64 {
 	byTeam := make(map[string]float64)
 	for i, shape := range d.TaskShapes {
 		isWithin := len(shapeOfferings[i]) > 0
 		for offered := range shapeOfferings[i] {
-			isWithin = isWithin && offerings[offered]
+			isWithin = isWithin && supply.offerings[offered]
+		}
+		for _, name := range supply.excluded {
+			_, isExcluded := slices.BinarySearch(shape.ExcludedInstances, name)
+			isWithin = isWithin && isExcluded
 		}
 		switch {
 		case !isWithin:
@@ -109,9 +120,13 @@
 	return instanceType != nil && !instance.Releasing && !instance.bootOverdue(instanceType, p.now)
 }
 
-// includes reports whether an instance is of one of the supply's offerings.
+// includes reports whether an instance is of one of the supply's offerings, and not excluded.
 func (s *constrainedSupply) includes(instance Instance) bool {
-	return s.offerings[offering{instance.InstanceType, instance.Zone, instance.Spot}]
+	if !s.offerings[offering{instance.InstanceType, instance.Zone, instance.Spot}] {
+		return false
+	}
+	_, isExcluded := slices.BinarySearch(s.excluded, instance.Name)
+	return !isExcluded
 }
 
 // scaleOutConstrained requests what the supplies lack, on spot instances where the tasks may run on
--- a/internal/fleet/costsaving_test.go
+++ b/internal/fleet/costsaving_test.go
@@ -169,6 +169,7 @@
 func TestConstrainedTasksHaveTheirOwnSupply(t *testing.T) {
 	large := TaskShape{Cores: 8, MemoryGB: 8, SpotAllowed: true, Team: "t", Weight: 8}
 	typeBound := TaskShape{Cores: 1, InstanceTypes: []string{"l"}, Team: "t", Weight: 1}
+	failedOnX := TaskShape{Cores: 1, InstanceTypes: []string{"l"}, ExcludedInstances: []string{"x"}, Team: "t", Weight: 1}
 	zoneBound := TaskShape{Cores: 1, Zone: "b", SpotAllowed: true, Team: "t", Weight: 1}
 	with := func(weight float64, shape TaskShape) Demand {
 		shape.Weight = weight
@@ -188,6 +189,10 @@
 		{"bound to a type of which none is up", plenty, with(1, typeBound), "l a on-demand", 1, nil},
 		{"bound to a zone in which none is up", plenty, with(1, zoneBound), "s b spot", 1, nil},
 		{"an instance that fits is up", in(Instance{InstanceType: "l", Zone: "a"}), with(1, typeBound), "", 0, nil},
+		{"the only instance that fits is excluded", in(Instance{Name: "x", InstanceType: "l", Zone: "a"}),
+			with(1, failedOnX), "l a on-demand", 1, nil},
+		{"another instance beside the excluded one", in(Instance{Name: "x", InstanceType: "l", Zone: "a"},
+			Instance{Name: "y", InstanceType: "l", Zone: "a"}), with(1, failedOnX), "", 0, nil},
 		{"a spot instance is no supply for tasks that may not run there",
 			in(Instance{InstanceType: "l", Zone: "a", Spot: true}), with(1, typeBound), "l a on-demand", 1, nil},
 		{"an instance that is released is no supply",
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -34,8 +34,10 @@
 	InstanceTypes         []string // types it may run on; empty: any
 	Zone                  string   // the only zone that it may run in; empty: any
 	SpotAllowed           bool
-	Team                  string
-	Weight                float64 // total cores of the unfinished tasks of this shape
+	// ExcludedInstances are the names, sorted, of the instances on which the tasks may not run now.
+	ExcludedInstances []string
+	Team              string
+	Weight            float64 // total cores of the unfinished tasks of this shape
 }
 
 // Fits reports whether a task fits an empty instance of a type.
--- a/internal/leader/demand.go
+++ b/internal/leader/demand.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"fmt"
 	"time"
 
 	"rillflow/internal/agent"
@@ -87,7 +88,7 @@
 		cores := job.Spec.CPUs * float64(job.UnfinishedTasks()-unreachable[job])
 		a.addJobDemand(sum, job, cores, zones, now)
 		waiting := job.Spec.AllowSpot && min(job.WaitingTasks(), a.jobs.QuotaHeadroom(job)) > 0
-		sum.addShape(&job.Spec, cores, waiting)
+		sum.addShape(&job.Spec, a.excludedInstances(job, now), cores, waiting)
 		sum.TeamLimits[job.Spec.Team] = a.jobs.Team(job.Spec.Team).CPUsMax
 	}
 	for team := range a.scaledAheadTeams {
@@ -150,9 +151,21 @@
 	}
 }
 
+// excludedInstances returns the names, sorted, of the instances that a job is excluded from now. A job that
+// fails wherever it runs gets no others.
+func (a *autoscaler) excludedInstances(job *ledger.Job, now time.Time) []string {
+	if len(job.FailedOn) == 0 || a.faults.jobFaulty(job) {
+		return nil
+	}
+	return job.ExcludedWorkers(now)
+}
+
 // addShape adds a job's tasks to the task shapes, and to the waiting shapes if waiting is set.
-func (s *demandSum) addShape(spec *wire.Job, cores float64, waiting bool) {
+func (s *demandSum) addShape(spec *wire.Job, excluded []string, cores float64, waiting bool) {
 	key := needsOf(spec)
+	if len(excluded) > 0 {
+		key += fmt.Sprint("|", excluded)
+	}
 	index, ok := s.shapeIndex[key]
 	if !ok {
 		index = len(s.TaskShapes)
@@ -160,6 +173,7 @@
 		s.TaskShapes = append(s.TaskShapes, fleet.TaskShape{
 			Cores: spec.CPUs, GPUs: spec.GPUs, MemoryGB: spec.MemoryGB,
 			InstanceTypes: spec.InstanceTypes, Zone: spec.Zone, SpotAllowed: spec.AllowSpot, Team: spec.Team,
+			ExcludedInstances: excluded,
 		})
 	}
 	s.TaskShapes[index].Weight += cores
--- a/internal/leader/demand_test.go
+++ b/internal/leader/demand_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,3 +81,31 @@
 		})
 	}
 }
+
+// Guards against a job that waits because the only instance that fits it, on which it failed, counts as its
+// supply; and against instances for a job that fails wherever it runs.
+func TestExcludedInstancesOfDemand(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		failedOn []string
+		at       time.Duration
+		want     []string
+	}{
+		{"failed nowhere", nil, 0, nil},
+		{"failed on one worker", []string{"h1"}, 0, []string{"h1"}},
+		{"excluded no more", []string{"h1"}, 31 * time.Second, nil},
+		{"fails on healthy workers", []string{"h1", "h2"}, 0, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			leader := newTestTerm(t)
+			job := leader.addTestJob("req-1", wire.Job{Kind: wire.KindArray, TaskCount: 1, CPUs: 1})
+			for _, worker := range tc.failedOn {
+				leader.faults.countFailure(job, leader.workers[worker], now)
+			}
+			demand := leader.autoscaler.demand(nil, now.Add(tc.at))
+			if got := demand.TaskShapes[0].ExcludedInstances; !slices.Equal(got, tc.want) {
+				t.Errorf("got excluded instances %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
