A team limit of 0 is no limit

Cause: the platform gives a guest cpus and cpus_max 0 and says that 0 means none; it was taken for a limit of nothing. Evidence: a scratch copy that logged the reason and the teams.

Change: a limit of 0 CPUs is lifted when the settings are read, and so is one of 0 GPUs for such a team; a team with a limit on CPUs and 0 GPUs has none, as before. The headroom is computed in floating point before it is cut to an integer, and a team without a limit is not scaled ahead for.

--- a/internal/leader/demand.go
+++ b/internal/leader/demand.go
@@ -120,10 +120,13 @@
 }
 
 // recordScaledAheadTeams records the teams that have work for which instances are requested ahead
-// of demand. A team stays recorded for the rest of the term.
+// of demand, up to their limits; a team without a limit has instances requested for its jobs only. A
+// team stays recorded for the rest of the term.
 func (a *autoscaler) recordScaledAheadTeams() {
 	for _, job := range a.jobs.Jobs() {
-		if !job.Cancelled && !job.Finished && job.DependenciesMet() && a.settings.ScalesAhead(job.Spec.Class) {
+		team := a.jobs.Team(job.Spec.Team)
+		if !job.Cancelled && !job.Finished && job.DependenciesMet() && team.HasLimit() &&
+			a.settings.ScalesAhead(job.Spec.Class) {
 			a.scaledAheadTeams[job.Spec.Team] = true
 		}
 	}
--- a/internal/leader/demand_test.go
+++ b/internal/leader/demand_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"rillflow/internal/fleet"
+	"rillflow/internal/ledger"
+	"rillflow/internal/settings"
 	"rillflow/internal/wire"
 )
 
@@ -109,3 +111,28 @@
 		})
 	}
 }
+
+// Guards against a whole fleet that is requested for a guest: for a team without a limit, instances are requested
+// for its jobs alone, also for a class that the fleet is scaled ahead for.
+func TestDemandOfTeamWithoutLimit(t *testing.T) {
+	for _, tc := range []struct {
+		name                  string
+		limit                 float64
+		wantAhead, wantDemand float64
+	}{
+		{"limited", 40, 40, 0},
+		{"without a limit", math.Inf(1), 0, 6},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			leader := newTestTerm(t)
+			leader.settings.Operator.Fleet.CostSaving = "never" // every class is scaled ahead for
+			leader.jobs = ledger.New("w", []settings.Team{{Name: "t", CPUsMax: tc.limit}})
+			leader.addTestJob("req-1", wire.Job{Kind: wire.KindArray, TaskCount: 3, CPUs: 2, AllowSpot: true})
+			demand := leader.autoscaler.demand(nil, now)
+			if demand.ScaleAheadCores != tc.wantAhead || demand.SpotCores != tc.wantDemand {
+				t.Errorf("got %v cores ahead of demand and %v for the job, want %v and %v",
+					demand.ScaleAheadCores, demand.SpotCores, tc.wantAhead, tc.wantDemand)
+			}
+		})
+	}
+}
--- a/internal/ledger/quota.go
+++ b/internal/ledger/quota.go
@@ -68,14 +68,14 @@
 	if usage == nil {
 		return 0
 	}
-	tasks := job.Spec.TaskCount
+	tasks := float64(job.Spec.TaskCount)
 	if job.Spec.CPUs > 0 {
-		tasks = min(tasks, int((team.CPUsMax-usage.CPUs-q.reserved.CPUs+quotaTolerance)/job.Spec.CPUs))
+		tasks = min(tasks, (team.CPUsMax-usage.CPUs-q.reserved.CPUs+quotaTolerance)/job.Spec.CPUs)
 	}
 	if job.Spec.GPUs > 0 {
-		tasks = min(tasks, int((team.GPUsMax-usage.GPUs-q.reserved.GPUs+quotaTolerance)/job.Spec.GPUs))
+		tasks = min(tasks, (team.GPUsMax-usage.GPUs-q.reserved.GPUs+quotaTolerance)/job.Spec.GPUs)
 	}
-	return max(tasks, 0)
+	return max(int(tasks), 0)
 }
 
 // Usage returns the amount of resources that a team's claims use of its quota.
--- a/internal/ledger/quota_test.go
+++ b/internal/ledger/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"testing"
 
 	"rillflow/internal/settings"
@@ -33,3 +34,22 @@
 		t.Errorf("after the reservation was removed: headroom of %d, want 4", table.QuotaHeadroom(array))
 	}
 }
+
+// A team without a limit may claim all tasks of a job, however many it has claimed before.
+func TestQuotaWithoutLimit(t *testing.T) {
+	table := New("w", []settings.Team{{Name: "t", CPUsMax: math.Inf(1), GPUsMax: math.Inf(1)}})
+	array := table.AddJob("r", newJobRecord("t", wire.KindArray, 6, 1), 3)
+	if _, err := table.Claim(array, "i-1", 1, "a"); err != nil {
+		t.Fatal(err)
+	}
+	table.SetReserved(1e6, 0)
+	if got := table.QuotaHeadroom(array); got != 6 {
+		t.Errorf("got headroom for %d tasks, want all 6 of the job", got)
+	}
+	if err := table.CheckClaim(array, "a"); err != nil {
+		t.Errorf("claim of the array: got error %v, want none", err)
+	}
+	if table.WithinGuaranteedQuota(array) {
+		t.Error("a team without a guarantee is within it")
+	}
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -58,6 +58,9 @@
 	if err := toml.Unmarshal(data, &settings); err != nil {
 		return nil, err
 	}
+	for i := range settings.Facts.Teams {
+		settings.Facts.Teams[i].liftMissingLimits()
+	}
 	if err := validator.New().Struct(&settings); err != nil {
 		return nil, firstError(err)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,7 +6,10 @@
 // settings, such as whether to scale ahead of demand, are made only here.
 package settings
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Settings are the complete configuration of a controller.
 type Settings struct {
@@ -50,11 +53,26 @@
 type Team struct {
 	Name    string  `toml:"name" validate:"required"`
 	CPUs    float64 `toml:"cpus" validate:"gte=0"`
-	CPUsMax float64 `toml:"cpus_max" validate:"gtefield=CPUs"`
+	CPUsMax float64 `toml:"cpus_max" validate:"gtefield=CPUs"` // +Inf: no limit, 0 in the platform's file
 	GPUs    float64 `toml:"gpus" validate:"gte=0"`
 	GPUsMax float64 `toml:"gpus_max" validate:"gtefield=GPUs"`
 }
 
+// HasLimit reports whether the team's tasks may use only a limited amount of CPUs at a time.
+func (team *Team) HasLimit() bool { return !math.IsInf(team.CPUsMax, 1) }
+
+// liftMissingLimits sets the limits of a team for which the platform gives none: a limit of 0 CPUs means that
+// there is no limit, and none on GPUs either unless one is given.
+func (team *Team) liftMissingLimits() {
+	if team.CPUsMax != 0 {
+		return
+	}
+	team.CPUsMax = math.Inf(1)
+	if team.GPUsMax == 0 {
+		team.GPUsMax = math.Inf(1)
+	}
+}
+
 // WorkerTimings are the intervals of the worker protocol. Each is limited to a day, so that sums
 // of them cannot overflow a duration.
 type WorkerTimings struct {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"math"
 	"strings"
 	"testing"
 )
@@ -65,6 +66,31 @@
 	}
 }
 
+// Guards against jobs of a guest team that are all refused: a limit of 0 means that there is none.
+func TestTeamWithoutLimit(t *testing.T) {
+	inf := math.Inf(1)
+	for _, tc := range []struct {
+		name, quota string
+		want        Team
+	}{
+		{"guarantee and limit", "cpus = 1.0\ncpus_max = 2.0", Team{Name: "a", CPUs: 1, CPUsMax: 2}},
+		{"neither", "cpus = 0.0\ncpus_max = 0.0\ngpus_max = 0.0", Team{Name: "a", CPUsMax: inf, GPUsMax: inf}},
+		{"guarantee without a limit", "cpus = 1.0\ncpus_max = 0.0", Team{Name: "a", CPUs: 1, CPUsMax: inf, GPUsMax: inf}},
+		{"limited GPUs alone", "cpus_max = 0.0\ngpus_max = 4.0", Team{Name: "a", CPUsMax: inf, GPUsMax: 4}},
+		{"CPUs but no GPUs", "cpus_max = 2.0\ngpus_max = 0.0", Team{Name: "a", CPUsMax: 2}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			settings, err := Parse([]byte(strings.Replace(validSettings, "cpus = 1.0\ncpus_max = 2.0", tc.quota, 1)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if team, _ := settings.Team("a"); team != tc.want || team.HasLimit() == math.IsInf(tc.want.CPUsMax, 1) {
+				t.Errorf("got team %+v, has a limit: %v; want %+v", team, team.HasLimit(), tc.want)
+			}
+		})
+	}
+}
+
 func TestParseOperator(t *testing.T) {
 	for _, tc := range []struct{ name, in, want string }{
 		{"empty", "", ""},
