--- a/review/standins-2/hunt.go
+++ b/review/standins-2/hunt.go
@@ -48,6 +48,9 @@
 			fatal(fmt.Errorf("%v: %s", err, out))
 		}
 		c.xml = "<rillflow><access><audit>on</audit><keys>" + keys + "</keys></access></rillflow>"
+		if seed%4 == 0 {
+			c.xml = "<rillflow><access><identities>on</identities><audit>on</audit><keys>" + keys + "</keys><allow who=\"anyone\" do=\"submit withdraw read need status\" owner=\"*\"/></access><rebuild><folder>" + filepath.Join(dir, "snapshots") + "</folder></rebuild></rillflow>"
+		}
 	}
 	switch seed % 7 {
 	case 0:
@@ -239,7 +242,7 @@
 		target = w.leader()
 	}
 	n := w.nodes[target]
-	kind := rng.IntN(20)
+	kind := rng.IntN(22)
 	if kind == 17 && w.conf.next == "" {
 		kind = 1
 	}
@@ -356,6 +359,10 @@
 				time.AfterFunc(w.scaled(40), func() { k.mu.Lock(); k.sick = false; k.mu.Unlock() })
 			}
 		}
+	case 20, 21:
+		length := 10 + 20*rng.Float64()
+		w.event("TROUBLE", "%s computes slower %.1f", n.name, length)
+		go n.slowDown(w.scaled(length), 60*time.Millisecond, 20*time.Millisecond)
 	case 14:
 		length := 10 + 40*rng.Float64()
 		w.event("TROUBLE", "%s is cut off the workers %.1f", n.name, length)
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -595,3 +596,19 @@
 	}
 	return body.Phase
 }
+
+// slowDown makes a controller compute several times slower: it is stopped and continued in turn.
+func (n *node) slowDown(length, stopped, running time.Duration) {
+	for until := time.Now().Add(length); time.Now().Before(until); time.Sleep(running) {
+		n.mu.Lock()
+		process := n.process
+		if process != nil {
+			process.Process.Signal(syscall.SIGSTOP)
+		}
+		n.mu.Unlock()
+		time.Sleep(stopped)
+		if process != nil {
+			process.Process.Signal(syscall.SIGCONT)
+		}
+	}
+}
