--- a/review/standins-2/cloud.go
+++ b/review/standins-2/cloud.go
@@ -56,6 +56,7 @@
 	tokensAt time.Time
 	nodes    map[int]*nodeLink
 	trouble  bool
+	fastBoot bool
 }
 
 func newCloud(w *world, types []*machineType, capacity map[string]int, rps float64, lag, latency time.Duration) *cloud {
@@ -160,6 +161,7 @@
 		names = append(names, c.add(kind, ask.Locale, ask.Loaners, 0.6+0.9*rand.Float64()).name)
 	}
 	c.asks[ask.Ask] = names
+	c.w.event("rent", "%d %s in %s, spot %v: %v", ask.HowMany, ask.Flavor, ask.Locale, ask.Loaners, names)
 	return 200, map[string]any{"hosts": names}
 }
 
@@ -173,6 +175,9 @@
 	m.address = listener.Addr().String()
 	c.machines = append(c.machines, m)
 	boot := time.Duration(kind.Ready * bootShare * float64(time.Second))
+	if c.fastBoot {
+		boot = time.Second + time.Duration(rand.IntN(1000))*time.Millisecond
+	}
 	time.AfterFunc(boot, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/review/standins-2/hunt.go
+++ b/review/standins-2/hunt.go
@@ -52,6 +52,19 @@
 			c.xml = "<rillflow><access><identities>on</identities><audit>on</audit><keys>" + keys + "</keys><allow who=\"anyone\" do=\"submit withdraw read need status\" owner=\"*\"/></access><rebuild><folder>" + filepath.Join(dir, "snapshots") + "</folder></rebuild></rillflow>"
 		}
 	}
+	if seed >= 1000 { // the ledger: a zone without a controller, machines rented ahead of demand
+		c.zones = []string{"alajuela", "cartago", "heredia", "liberia"}
+		c.nodeZones = []string{"heredia", "cartago", "liberia"}
+		c.leaseS, c.cancelS, c.lagS, c.memoryMB, c.sockets, c.txnOps = 32, 52, 5, 70, 900, 16
+		c.objectives = "\n[[facts.objectives]]\nkind = \"finished\"\nclass = \"thumb-batch\"\nwithin_s = 24.0\nshare = 0.9\n"
+		capacity = map[string]int{}
+		for _, t := range types {
+			t.Locales = c.zones
+			for _, zone := range c.zones {
+				capacity[capKey(t.Label, zone, false)], capacity[capKey(t.Label, zone, true)] = 2, 1
+			}
+		}
+	}
 	switch seed % 7 {
 	case 0:
 		c.nodeZones = c.nodeZones[:1]
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -11,6 +11,7 @@
 	record := flag.String("record", "", "the file to write")
 	name := flag.String("case", "", "the case to run")
 	hunt := flag.Int64("hunt", 0, "play a day by lot with this seed")
+	shapes := flag.Int64("shapes", 0, "play jobs of many shapes with this seed")
 	seconds := flag.Float64("seconds", 90, "length of a day by lot")
 	scale := flag.Float64("scale", 0.2, "length of the deployment's times in a day by lot")
 	flag.Parse()
@@ -24,6 +25,7 @@
 	} else {
 		fmt.Println("files in", dir)
 	}
+	go endOnSignal(dir)
 	out := os.Stdout
 	if *record != "" {
 		if out, err = os.Create(*record); err != nil {
@@ -31,7 +33,9 @@
 		}
 	}
 	var code int
-	if *hunt != 0 {
+	if *shapes != 0 {
+		code = runShapes(*binary, dir, out, uint64(*shapes), *seconds, *scale, trouble)
+	} else if *hunt != 0 {
 		code = runHunt(*binary, dir, out, uint64(*hunt), *seconds, *scale, trouble)
 	} else if run := cases[*name]; run != nil {
 		code = run(*binary, dir, out, trouble)
@@ -41,5 +45,6 @@
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(dir)
 	}
+	running.killAll()
 	os.Exit(code)
 }
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -122,6 +122,7 @@
 
 func fatal(err error) {
 	fmt.Fprintln(os.Stderr, "cannot run:", err)
+	running.killAll()
 	os.Exit(2)
 }
 
@@ -245,12 +246,14 @@
 	if err := process.Start(); err != nil {
 		fatal(err)
 	}
+	running.add(process.Process)
 	n.process, n.wanted = process, true
 	exited := make(chan struct{})
 	n.exited = exited
 	n.w.event("node", "%s started, process %d", n.name, process.Process.Pid)
 	go func() {
 		process.Wait()
+		running.remove(process.Process)
 		logFile.Close()
 		n.mu.Lock()
 		n.process = nil
