--- a/review/standins-2/hunt.go
+++ b/review/standins-2/hunt.go
@@ -140,7 +140,7 @@
 			spec.Loaners = false
 			zone := w.conf.zones[rng.IntN(3)]
 			spec.Locale = &zone
-		case 4:
+		case 4, 5:
 			if len(open) > 0 {
 				spec.WaitsOn = []string{open[rng.IntN(len(open))]}
 			}
@@ -255,7 +255,7 @@
 		target = w.leader()
 	}
 	n := w.nodes[target]
-	kind := rng.IntN(22)
+	kind := rng.IntN(25)
 	if kind == 17 && w.conf.next == "" {
 		kind = 1
 	}
@@ -376,6 +376,11 @@
 		length := 10 + 20*rng.Float64()
 		w.event("TROUBLE", "%s computes slower %.1f", n.name, length)
 		go n.slowDown(w.scaled(length), 60*time.Millisecond, 20*time.Millisecond)
+	case 22, 23, 24:
+		zone, length := w.conf.zones[rng.IntN(len(w.conf.zones))], 10+50*rng.Float64()
+		w.event("TROUBLE", "zone %s cut off, held %.1f", zone, length)
+		w.cutZone(zone, true)
+		time.AfterFunc(w.scaled(length), func() { w.event("trouble", "zone %s is back", zone); w.cutZone(zone, false) })
 	case 14:
 		length := 10 + 40*rng.Float64()
 		w.event("TROUBLE", "%s is cut off the workers %.1f", n.name, length)
@@ -429,3 +434,31 @@
 	text, _ := fields[name].(string)
 	return text
 }
+
+// cutZone cuts a zone off the rest, the region included: what is inside goes on working.
+func (w *world) cutZone(zone string, on bool) {
+	inside := map[int]bool{}
+	for i := range w.nodes {
+		inside[i] = w.conf.nodeZones[i] == zone
+		if inside[i] {
+			w.store.nodes[i].set(false, on)
+			w.cloud.nodes[i].set(false, on)
+		}
+	}
+	for pair, p := range w.peers {
+		if inside[pair[0]] != inside[pair[1]] {
+			p.set(false, on)
+		}
+	}
+	leaderInside := inside[w.leader()]
+	for _, k := range w.cloud.live() {
+		k.mu.Lock()
+		for i := range w.nodes {
+			if inside[i] != (k.m.zone == zone) {
+				k.cutNodes[i] = on
+			}
+		}
+		k.mu.Unlock()
+		k.holdDirect(on && (k.m.zone == zone) != leaderInside)
+	}
+}
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -49,6 +49,7 @@
 	node        int
 	cut         bool // no packet passes; commands are held
 	hung        bool
+	heldDo      bool          // direct commands and questions are held
 	free        chan struct{} // closed when cut or hang changes
 	sick        bool
 	slow        float64
@@ -96,6 +97,8 @@
 	k.tasks = map[attempt]*workerTask{}
 }
 
+func (k *worker) holdDirect(held bool) { k.mu.Lock(); k.heldDo = held; k.release(); k.mu.Unlock() }
+
 func (k *worker) setCut(cut bool) { k.mu.Lock(); k.cut = cut; k.release(); k.mu.Unlock() }
 
 func (k *worker) setHung(hung bool) {
@@ -118,7 +121,7 @@
 			k.mu.Unlock()
 			return false
 		}
-		blocked, free := k.cut || k.hung, k.free
+		blocked, free := k.cut || k.hung || k.heldDo, k.free
 		k.mu.Unlock()
 		if !blocked {
 			return true
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -589,6 +589,9 @@
 				job.cancelTold = time.Now()
 			}
 		case "queued", "running":
+			if at := latest(w.upstreamTold(job), job.accepted); status == 200 && !w.upstreamTold(job).IsZero() && askedAt.Sub(at) > w.scaled(w.conf.cancelS) {
+				fault("orphaned", "%s is called %s %.1f s after the user of a job before it was told", ref, body.Phase, askedAt.Sub(at).Seconds())
+			}
 		default:
 			fault("protocol", "%s: phase %q", ref, body.Phase)
 		}
@@ -615,3 +618,27 @@
 		}
 	}
 }
+
+// upstreamTold returns when the user of a job that this one needs, directly or through others, was first told
+// that it is cancelled. Callers hold mu.
+func (w *world) upstreamTold(job *jobState) (at time.Time) {
+	for _, ref := range job.spec.WaitsOn {
+		other := w.jobs[ref]
+		if other == nil {
+			continue
+		}
+		for _, told := range []time.Time{other.cancelTold, w.upstreamTold(other)} {
+			if !told.IsZero() && (at.IsZero() || told.Before(at)) {
+				at = told
+			}
+		}
+	}
+	return at
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
