--- a/review/standins-2/waits.go
+++ b/review/standins-2/waits.go
@@ -88,6 +88,10 @@
 		fmt.Printf("held: req-000403 started\n")
 		return 0
 	}
+	if waited < 70 {
+		w.event("cannot run", "only %.0f s were left to wait", waited)
+		return 2
+	}
 	w.event("BROKEN", "must_run: req-000403 was accepted %.0f s ago and no task of it has started", waited)
 	fmt.Printf("broken: req-000403 has not started in %.0f s\n", waited)
 	return 1
