--- a/review/standins-2/waits.go
+++ b/review/standins-2/waits.go
@@ -83,6 +83,10 @@
 	for _, m := range w.cloud.up() {
 		w.event("machine", "%s", m)
 	}
+	if w.broke("node_ended") {
+		w.event("cannot run", "a controller ended by itself, perhaps for want of its port")
+		return 2
+	}
 	if started > 0 {
 		w.event("held", "req-000403 started, %d time(s)", started)
 		fmt.Printf("held: req-000403 started\n")
@@ -177,3 +181,10 @@
 	}
 	return found
 }
+
+// broke reports whether a rule was found broken.
+func (w *world) broke(rule string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.brokenN[rule] > 0
+}
