Review: the stand-ins wait until their controllers have ended

Cause: cut short by a signal, a run left three controllers for a moment. Change: killAll waits for the processes that it killed.

--- a/review/standins-2/running.go
+++ b/review/standins-2/running.go
@@ -5,6 +5,7 @@
 	"os/signal"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // processes are the controllers that run now, so that none outlives this program.
@@ -19,11 +20,18 @@
 
 func (p *processes) remove(process *os.Process) { p.mu.Lock(); delete(p.all, process); p.mu.Unlock() }
 
+// killAll kills the controllers and waits until they have ended, for three seconds at most.
 func (p *processes) killAll() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for process := range p.all {
-		process.Kill()
+	for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		p.mu.Lock()
+		left := len(p.all)
+		for process := range p.all {
+			process.Kill()
+		}
+		p.mu.Unlock()
+		if left == 0 {
+			return
+		}
 	}
 }
 
