A heartbeat of an earlier incarnation does not show that a worker is heard

Cause: that a heartbeat was answered within two and a half intervals was taken for the present incarnation's too.

TestRebootedWorkerGetsTasksOnceHeard fails without it ("got the lease renewed by a heartbeat of the earlier incarnation").

--- a/internal/leader/heartbeats_test.go
+++ b/internal/leader/heartbeats_test.go
@@ -134,3 +134,26 @@
 		})
 	}
 }
+
+// Guards against starts on a rebooted worker that answers direct commands but reaches no controller.
+func TestRebootedWorkerGetsTasksOnceHeard(t *testing.T) {
+	leader := newTestTerm(t)
+	leader.leadership = &fakeLeadership{election.ShardMap{Epoch: 7, Owners: []string{"n"}}}
+	leader.ready, leader.ctx = make(chan struct{}), t.Context()
+	close(leader.ready)
+	worker := leader.workers["h0"]
+	worker.Incarnation, worker.Sequence, worker.SeenEpoch = 1, 10, 7
+	worker.LastHeartbeat = now.Add(-time.Second)
+	rebooted := wire.Heartbeat{Worker: "h0", InstanceType: "m", Zone: worker.Zone, Incarnation: 2, Sequence: 11, Epoch: 7}
+	leader.heartbeats.applyHeartbeat(&rebooted)
+	if leader.leaseRenewed(worker, now) {
+		t.Error("got the lease renewed by a heartbeat of the earlier incarnation")
+	}
+	rebooted.Sequence++
+	if _, _, err := runnerOf(leader).Heartbeat(t.Context(), &rebooted); err != nil {
+		t.Fatal(err)
+	}
+	if !leader.leaseRenewed(worker, now) {
+		t.Error("got the lease not renewed after an answered heartbeat")
+	}
+}
--- a/internal/leader/timing.go
+++ b/internal/leader/timing.go
@@ -28,11 +28,12 @@
 	return s.settings.WorkerLease() + s.settings.WorkerLease()/clockDriftDivisor + s.settings.HeartbeatInterval()/3
 }
 
-// leaseRenewed reports whether a worker's heartbeat was answered within the last two and a half
-// intervals. Nothing else renews its lease: a worker that answers direct commands but reaches no
+// leaseRenewed reports whether a heartbeat of a worker's incarnation was answered within the last two and
+// a half intervals. Nothing else renews its lease: a worker that answers direct commands but reaches no
 // controller ends whatever tasks it is given. Callers hold mu.
 func (s *termScope) leaseRenewed(worker *agent.Worker, now time.Time) bool {
-	return !worker.LastHeartbeat.IsZero() && now.Sub(worker.LastHeartbeat) < 5*s.settings.HeartbeatInterval()/2
+	return !worker.LastHeartbeat.IsZero() && !worker.LastHeartbeat.Before(worker.IncarnationSeenAt) &&
+		now.Sub(worker.LastHeartbeat) < 5*s.settings.HeartbeatInterval()/2
 }
 
 // secondsSince returns the seconds since an event, for logs, or -1 if it has not occurred.
