Slow requests no longer keep health checks and workers out

Seen: with 1,000 clients that send a body a byte at a time, 8 of 8 health checks and 8 of 8 heartbeats got no answer, and all 1,000 connections were still open after 60 s; in the middle of a header, or silent, one health check was missed. Cause: the header of a request had a time limit and the body had none, and the front accepted half of the sockets and then no more, so those that waited kept their place; peers could open any number of connections. Class: a check in one path and not in another.

Change: connlimit.Listener at both addresses. A request must be received whole within two heartbeat intervals, as its header had to be; at the limit the connection that has waited longest for its request makes room, never one that is being served. Time for which the process stood still does not count.

A sound request in five parts is answered (TestSoundRequestOnSlowLinkIsAnswered), and one that waits while the process stands still is not closed (TestReceiveTimeout).

--- a/internal/peer/answers.go
+++ b/internal/peer/answers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rillflow/internal/cancellation"
+	"rillflow/internal/connlimit"
 	"rillflow/internal/placement"
 	"rillflow/internal/replica"
 	"rillflow/internal/wire"
@@ -76,6 +77,9 @@
 		go func() {
 			defer func() { <-mesh.slots }()
 			answer := mesh.answerFrame(ctx, request)
+			if answer.kind == kindAnswer {
+				connlimit.RequestReceived(conn)
+			}
 			writeMu.Lock()
 			defer writeMu.Unlock()
 			conn.SetWriteDeadline(time.Now().Add(answerWriteTimeoutIntervals * mesh.pingInterval))
--- a/internal/serve/controller.go
+++ b/internal/serve/controller.go
@@ -12,6 +12,7 @@
 	"rillflow/internal/agent"
 	"rillflow/internal/cancellation"
 	"rillflow/internal/certs"
+	"rillflow/internal/connlimit"
 	"rillflow/internal/dataloss"
 	"rillflow/internal/election"
 	"rillflow/internal/fleet"
@@ -72,8 +73,8 @@
 	replica       *replica.Replica
 	cancellations *cancellation.Set
 	broadcaster   *cancellation.Broadcaster
-	connections   *connectionLimiter // set by listen
-	unknownEpochs chan uint64        // epochs of workers above the highest one known here
+	front         *connlimit.Listener // set by listen
+	unknownEpochs chan uint64         // epochs of workers above the highest one known here
 	log           *slog.Logger
 	startedAt     time.Time
 }
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -31,6 +31,11 @@
 	storeSilenceMetric = prometheus.NewDesc(metricName("store", "silence_seconds"),
 		"Time since the key-value store last answered this controller.", nil, nil)
 
+	openConnectionsMetric = prometheus.NewDesc(metricName("front", "open_connections"),
+		"Connections that users, workers and the load balancer have open.", nil, nil)
+	closedConnectionsMetric = prometheus.NewDesc(metricName("front", "connections_closed_total"),
+		"Connections closed while their request was awaited, by why.", []string{"reason"}, nil)
+
 	storeOperationsMetric = prometheus.NewDesc(metricName("store", "operations_total"),
 		"Puts and deletes in transactions, by the first part of the key and by what became of the transaction.",
 		[]string{"prefix", "change", "outcome"}, nil)
@@ -115,6 +120,7 @@
 		}
 		counter(storeOperationsMetric, float64(operations.Count), operations.Prefix, change, operations.Outcome)
 	}
+	c.collectConnections(counter, gauge)
 	polls := c.jobAPI.PollStats()
 	counter(pollsMetric, float64(polls.Answered), "answered")
 	counter(pollsMetric, float64(polls.Unknown), "unknown_job")
@@ -148,3 +154,14 @@
 		}
 	}
 }
+
+// collectConnections collects the metrics of the front address, once it is open.
+func (c metricsCollector) collectConnections(counter, gauge func(*prometheus.Desc, float64, ...string)) {
+	if c.front == nil {
+		return
+	}
+	gauge(openConnectionsMetric, float64(c.front.Open()))
+	closed := c.front.Stats()
+	counter(closedConnectionsMetric, float64(closed.TimedOut), "timed_out")
+	counter(closedConnectionsMetric, float64(closed.Displaced), "displaced")
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -3,19 +3,16 @@
 //
 // It serves two addresses: users, workers, the load balancer and operators use the front
 // address, other controllers the back address. Each component owns its state and its
-// goroutines; this package owns only the connections of the front address. cmd/rillflow and
+// goroutines; package connlimit owns the connections. cmd/rillflow and
 // the simulation call Run. Decisions about jobs, workers or leadership do not belong here.
 package serve
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"time"
 
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"rillflow/internal/kvstore"
@@ -56,20 +53,15 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{
-		Handler:           controller.routes(),
-		ReadHeaderTimeout: 2 * settings.HeartbeatInterval(),
-		IdleTimeout:       2 * settings.WorkerLease(),
-		ConnState:         controller.connections.track,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-	}
+	server := controller.newServer()
 	snapshots := controller.openSnapshots()
 	group, ctx := errgroup.WithContext(ctx)
 	if snapshots != nil {
 		group.Go(func() error { return controller.writeSnapshots(ctx, snapshots) })
 	}
 	group.Go(func() error { return server.Serve(front) })
+	group.Go(func() error { return front.Run(ctx) })
+	group.Go(func() error { return back.Run(ctx) })
 	if controller.certs != nil {
 		group.Go(func() error { return controller.certs.Watch(ctx, settings.WorkerLease()) })
 	}
@@ -90,31 +82,3 @@
 	log.Info("serving", "front", settings.FrontAddress, "back", settings.PeerAddress)
 	return group.Wait()
 }
-
-// listen opens the listeners of both addresses.
-func (controller *controller) listen(network Network) (front, back net.Listener, err error) {
-	settings := controller.settings
-	front, err = network.Listen(settings.FrontAddress)
-	if err != nil {
-		return nil, nil, fmt.Errorf("front: %w", err)
-	}
-	back, err = network.Listen(settings.PeerAddress)
-	if err != nil {
-		front.Close()
-		return nil, nil, fmt.Errorf("back: %w", err)
-	}
-	connections := controller.frontConnections()
-	controller.connections = newConnectionLimiter(connections)
-	front = netutil.LimitListener(front, connections)
-	if controller.certs != nil {
-		front = controller.certs.WrapListener(front, settings.Operator.TLS.Front, false)
-		back = controller.certs.WrapListener(back, settings.Operator.TLS.Peers, true)
-	}
-	return front, back, nil
-}
-
-// frontConnections returns the maximum number of open connections at the front address.
-func (controller *controller) frontConnections() int {
-	settings := controller.settings
-	return int(settings.Operator.Limits.Sockets * float64(settings.Facts.Resources.Sockets))
-}
--- a/internal/serve/workers.go
+++ b/internal/serve/workers.go
@@ -23,7 +23,7 @@
 // handleHeartbeat answers a worker's heartbeat, or redirects it to the shard's owner.
 func (controller *controller) handleHeartbeat(w http.ResponseWriter, r *http.Request) {
 	controller.shard.RecordRequest()
-	controller.connections.closeIfCrowded(w)
+	controller.closeIfCrowded(w)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, agent.MaxHeartbeatBytes))
 	var heartbeat wire.Heartbeat
 	if err == nil {
