Submissions: a count of tasks in any spelling of an integer

Seen: "members":16.0 and 1.6e1 were answered 400, though both are the integer 16 in JSON. Cause: encoding/json takes neither for an int. Change: the count is read as a number and must be whole; the answers to 1.5 and to a text are as before.

TestSoundSpellingsAreOneJob draws order, spelling of names and numbers, unknown fields, null or omitted: one job, one record, one answer. It fails on the code before ("cannot unmarshal number 16.0"), as do two rows of TestParse.

--- a/internal/intake/fieldchecker.go
+++ b/internal/intake/fieldchecker.go
@@ -63,14 +63,14 @@
 	return *value
 }
 
-func (check *fieldChecker) taskCount(value *int) int {
+func (check *fieldChecker) taskCount(value *taskCount) int {
 	switch {
 	case value == nil:
 		check.fault("members", missing)
 	case *value < 1 || *value > maxTasks:
 		check.fault("members", invalid)
 	default:
-		return *value
+		return int(*value)
 	}
 	return 0
 }
--- a/internal/intake/submission.go
+++ b/internal/intake/submission.go
@@ -27,7 +27,7 @@
 	Team                      *string
 	Kind                      *string
 	Priority                  *string
-	TaskCount                 *int
+	TaskCount                 *taskCount
 	CPUs                      *float64
 	GPUs                      *float64
 	MemoryGB                  *float64
