--- a/internal/sim/cloud_test.go
+++ b/internal/sim/cloud_test.go
@@ -13,8 +13,7 @@
 	"rillflow/internal/wire"
 )
 
-// fakeCloud is a fake of the cloud API. Instances boot in 3 s, and the listing shows
-// them 2 s after their creation.
+// fakeCloud is a fake of the cloud API. The listing shows instances 2 s after their creation.
 type fakeCloud struct {
 	world         *world
 	mu            sync.Mutex
@@ -28,7 +27,9 @@
 	released      int                             // instances released
 	maxInstances  int                             // per instance type and zone
 	zoneLimits    map[string]int                  // replaces maxInstances in a zone
-	outages       int                             // under way: all requests are refused
+	bootTime      time.Duration
+	late          bool // requests that change instances get no answer and are carried out later
+	outages       int  // under way: all requests are refused
 }
 
 func (c *fakeCloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -45,14 +46,7 @@
 	case "/hosts/release":
 		var list wire.InstanceNames
 		json.Unmarshal(body, &list)
-		for _, name := range list.Names {
-			if instance, ok := c.instances[name]; ok {
-				c.instanceCount[instance.InstanceType+instance.Zone]--
-				delete(c.instances, name)
-				c.released++
-				c.world.stopWorker(name)
-			}
-		}
+		c.carryOut(func() { c.release(list.Names) })
 		writeJSON(w, 200, struct{}{})
 	case "/hosts":
 		if r.Method == http.MethodGet {
@@ -74,33 +68,74 @@
 			c.world.mu.Unlock()
 		}
 		c.requests[request.RequestID] = request
-		if names, ok := c.grantedNames[request.RequestID]; ok {
-			writeJSON(w, 200, wire.InstanceNames{Names: names})
-			return
-		}
-		var names []string
-		limit := c.maxInstances
-		if zoneLimit, ok := c.zoneLimits[request.Zone]; ok {
-			limit = zoneLimit
-		}
-		for len(names) < request.Count && c.instanceCount[request.InstanceType+request.Zone] < limit {
-			c.instanceCount[request.InstanceType+request.Zone]++
-			c.lastNumber++
-			name := fmt.Sprintf("i-%06d", c.lastNumber)
-			instance := wire.Instance{Name: name, Address: name + ":9000", InstanceType: request.InstanceType, Zone: request.Zone, Spot: request.Spot, Phase: wire.InstanceStarting}
-			c.instances[name], c.createdAt[name] = instance, time.Now()
-			names = append(names, name)
-			time.AfterFunc(3*time.Second, func() { c.startInstance(name) })
-		}
+		c.carryOut(func() { c.scaleOut(request) })
+		names := c.grantedNames[request.RequestID]
 		if len(names) == 0 {
 			writeJSON(w, 503, wire.ErrorResponse{Error: "no capacity"})
 			return
 		}
-		c.grantedNames[request.RequestID] = names
 		writeJSON(w, 200, wire.InstanceNames{Names: names})
 	}
 }
 
+// carryOut carries out a change at once or, while requests are late, some time after the connection broke. The
+// caller holds mu.
+func (c *fakeCloud) carryOut(change func()) {
+	if !c.late {
+		change()
+		return
+	}
+	time.AfterFunc(time.Duration(1+c.world.intN(25_000))*time.Millisecond, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		change()
+	})
+	panic(http.ErrAbortHandler)
+}
+
+// scaleOut creates the instances of a request, unless an earlier copy of it has. The caller holds mu.
+func (c *fakeCloud) scaleOut(request wire.ScaleOutRequest) {
+	if _, ok := c.grantedNames[request.RequestID]; ok {
+		return
+	}
+	limit := c.maxInstances
+	if zoneLimit, ok := c.zoneLimits[request.Zone]; ok {
+		limit = zoneLimit
+	}
+	var names []string
+	for len(names) < request.Count && c.instanceCount[request.InstanceType+request.Zone] < limit {
+		names = append(names, c.create(request.InstanceType, request.Zone, request.Spot))
+	}
+	if len(names) > 0 {
+		c.grantedNames[request.RequestID] = names
+	}
+}
+
+// create creates an instance and returns its name. The caller holds mu.
+func (c *fakeCloud) create(instanceType, zone string, spot bool) string {
+	c.instanceCount[instanceType+zone]++
+	c.lastNumber++
+	name := fmt.Sprintf("i-%06d", c.lastNumber)
+	c.instances[name] = wire.Instance{
+		Name: name, Address: name + ":9000", InstanceType: instanceType, Zone: zone, Spot: spot, Phase: wire.InstanceStarting,
+	}
+	c.createdAt[name] = time.Now()
+	time.AfterFunc(c.bootTime, func() { c.startInstance(name) })
+	return name
+}
+
+// release stops instances and everything on them. The caller holds mu.
+func (c *fakeCloud) release(names []string) {
+	for _, name := range names {
+		if instance, ok := c.instances[name]; ok {
+			c.instanceCount[instance.InstanceType+instance.Zone]--
+			delete(c.instances, name)
+			c.released++
+			c.world.stopWorker(name)
+		}
+	}
+}
+
 // killInstance stops a worker at once. The listing shows its failure 30 s later.
 func (c *fakeCloud) killInstance(name string) {
 	c.world.stopWorker(name)
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -51,7 +51,7 @@
 	w.maxInstances, w.clusterSize, w.upgraded = maxInstances, clusterSize, make(map[int]bool)
 	store = newFakeStore(rand.New(rand.NewPCG(seed, 9)), w.recordViolation)
 	w.store = store
-	cloud = &fakeCloud{world: w, maxInstances: maxInstances, grantedNames: map[string][]string{}, requests: map[string]wire.ScaleOutRequest{}, instances: map[string]wire.Instance{}, createdAt: map[string]time.Time{}, instanceCount: map[string]int{},
+	cloud = &fakeCloud{world: w, bootTime: 3 * time.Second, maxInstances: maxInstances, grantedNames: map[string][]string{}, requests: map[string]wire.ScaleOutRequest{}, instances: map[string]wire.Instance{}, createdAt: map[string]time.Time{}, instanceCount: map[string]int{},
 		types: []wire.InstanceType{{Name: "m", CPUs: 8, MemoryGB: 32, DiskGB: 20, ImagePullGBPerSecond: 1, PricePerHour: 1, SpotPricePerHour: 0.5, BootSeconds: 3, Zones: []string{"a", "b"}}}}
 	var servers []*http.Server
 	for host, handler := range map[string]http.Handler{"state": store, "cloud": cloud} {
--- a/internal/sim/worker_test.go
+++ b/internal/sim/worker_test.go
@@ -55,7 +55,9 @@
 	failsTasks              bool    // every task that starts fails at once
 	cpus                    float64 // of the instance type
 	stopped                 bool    // the instance is gone
-	reboots                 int     // under way: the worker neither sends nor receives messages
+	holdsStarts             bool    // direct commands with a start are held until deliverHeldStarts
+	heldStarts              []wire.CommandBatch
+	reboots                 int // under way: the worker neither sends nor receives messages
 }
 
 func (k *fakeWorker) heartbeat() wire.Heartbeat {
--- a/internal/sim/workercommands_test.go
+++ b/internal/sim/workercommands_test.go
@@ -19,6 +19,10 @@
 	if k.dropsResponses || k.paused || k.reboots > 0 {
 		panic(http.ErrAbortHandler)
 	}
+	if k.holdsStarts && hasStart(batch) {
+		k.heldStarts = append(k.heldStarts, batch)
+		panic(http.ErrAbortHandler)
+	}
 	k.expire()
 	status := 200
 	if r.URL.Path == "/do" {
