A cancellation that meets a submission is tried again, not answered queued

Cause: the live key is read twice if the first read does not find it; a job stored in between was returned as it was, 200 "queued", to the user who cancels it. Change: a state that is not final counts as "changed meanwhile", as elsewhere in the cancellation. TestCancelWhileSubmissionIsStored failed before (body phase "queued").

--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -88,6 +88,9 @@
 	if err == nil {
 		_, err = api.authorize(caller, rights.Cancel, job.team, id)
 	}
+	if err == nil && !job.isFinal() {
+		return jobState{}, errJobChanged // it was submitted since its live key was read
+	}
 	return job, err
 }
 
--- a/internal/intake/cancel_test.go
+++ b/internal/intake/cancel_test.go
@@ -75,3 +75,24 @@
 		t.Errorf("got stored end %s, want phase %s", end, wire.PhaseDone)
 	}
 }
+
+// Guards against calling a job queued to a user who cancels it: it is stored between the two reads of its live key.
+func TestCancelWhileSubmissionIsStored(t *testing.T) {
+	store := &fakeStore{values: map[string]string{}}
+	_, mux := newAPIWithStore(t, store)
+	if recorder := submitJob(mux, "req-1", nil, "", ""); recorder.Code != 201 {
+		t.Fatalf("submission: got status %d, want 201", recorder.Code)
+	}
+	stored := store.values["j/req-1"]
+	delete(store.values, "j/req-1")
+	store.onRead = func() {
+		if _, ended := store.values["d/req-1"]; !ended {
+			store.values["j/req-1"] = stored
+		}
+	}
+	recorder := httptest.NewRecorder()
+	mux.ServeHTTP(recorder, httptest.NewRequest("POST", "/v1/jobs/req-1/withdraw", nil))
+	if recorder.Code != 200 || !strings.Contains(recorder.Body.String(), wire.PhaseCancelled) {
+		t.Errorf("got status %d, body %s, want 200 with phase %s", recorder.Code, recorder.Body, wire.PhaseCancelled)
+	}
+}
