Waiting work gets an instance if none has room beside the replicas

Cause: the planner compared cores: all cores of a machine that is up counted as supply, whatever the replicas on it hold, and memory not at all. Class: supply and demand compared in one resource, where placement needs all of them on one machine.

Change: fleet.WaitingShape.hasRoomOn asks for type, zone, spot, exclusions, cores, GPUs and memory beside the replicas. For a waiting shape without room anywhere one instance is requested, the cheapest that fits, or a drain is cancelled; an instance that alone has room is kept.

--- a/internal/fleet/ahead.go
+++ b/internal/fleet/ahead.go
@@ -12,6 +12,7 @@
 	p.plan.ReuseDrained = true
 	p.scaleOutAhead()
 	p.scaleOutConstrained(p.constrainedSupplies(1))
+	p.scaleOutWithoutRoom()
 	p.plan.Drain = p.blockedByReplicas()
 	if len(p.demand.TaskShapes) == 0 {
 		p.releaseIdle()
--- a/internal/fleet/costsaving.go
+++ b/internal/fleet/costsaving.go
@@ -78,6 +78,7 @@
 		c.scaleOutElsewhere(zone, shortfall)
 	}
 	c.scaleOutSpot(availableCores)
+	c.scaleOutWithoutRoom()
 	if !c.plan.CancelDrains {
 		c.scaleIn()
 	}
@@ -179,7 +180,8 @@
 	for _, instance := range candidates {
 		instanceType := c.types[instance.InstanceType]
 		idle := c.idleLongEnough(instance, instanceType)
-		if c.mustKeep(instance, instanceType.CPUs) || !idle && !c.drainable(instance, drainLimit) {
+		mustKeep := c.mustKeep(instance, instanceType.CPUs) || c.hasOnlyRoom(instance)
+		if mustKeep || !idle && !c.drainable(instance, drainLimit) {
 			continue
 		}
 		for _, supply := range c.supplies {
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -26,6 +26,8 @@
 	TaskShapes          []TaskShape        // shapes of all unfinished tasks
 	WaitingShapes       []TaskShape        // shapes of tasks that may run on spot instances and wait within quota
 	TeamLimits          map[string]float64 // quota limits of the teams of TaskShapes
+	// WaitingShapesAnywhere are the shapes of all tasks that wait within quota.
+	WaitingShapesAnywhere []WaitingShape
 }
 
 // TaskShape is the resources that a task takes and the instances that it may run on.
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -22,10 +22,11 @@
 	Releasing    bool      // it will be released whatever the demand
 	Partitioned  bool      // cut off from the controllers: not counted as capacity, but not released
 
-	RequestedAt  time.Time // when it was requested, by this leader's clock or the age that the cloud lists
-	Draining     bool      // it takes no new tasks, and is released once empty
-	Replicas     int       // service replicas on it
-	ReplicaCores float64   // cores taken by the replicas
+	RequestedAt time.Time // when it was requested, by this leader's clock or the age that the cloud lists
+	Draining    bool      // it takes no new tasks, and is released once empty
+	Replicas    int       // service replicas on it
+	// Resources taken by the replicas.
+	ReplicaCores, ReplicaGPUs, ReplicaMemoryGB float64
 	// CanMoveReplicas reports whether every replica on it has a place on another instance that has
 	// its image, and reserves these places. It scans the free capacity of every worker, so it is
 	// called only for an instance that would be drained.
--- a/internal/fleet/offering.go
+++ b/internal/fleet/offering.go
@@ -73,11 +73,15 @@
 // pricePerUsableCore returns the hourly price of an offering per core that current tasks can use.
 func (p *pass) pricePerUsableCore(offered offering) float64 {
 	instanceType := p.types[offered.instanceType]
-	price := instanceType.PricePerHour
+	return p.price(offered) / (instanceType.CPUs * p.demand.usableShare(instanceType, offered.spot))
+}
+
+// price returns the hourly price of an instance of an offering.
+func (p *pass) price(offered offering) float64 {
 	if offered.spot {
-		price = instanceType.SpotPricePerHour
+		return p.types[offered.instanceType].SpotPricePerHour
 	}
-	return price / (instanceType.CPUs * p.demand.usableShare(instanceType, offered.spot))
+	return p.types[offered.instanceType].PricePerHour
 }
 
 // requestCores requests instances of the offerings, in their order, until they add up to the cores.
--- a/internal/leader/demand.go
+++ b/internal/leader/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"rillflow/internal/agent"
@@ -50,6 +51,8 @@
 		if claim.Job.Spec.Kind == wire.KindService {
 			instance.Replicas++
 			instance.ReplicaCores += claim.Job.Spec.CPUs
+			instance.ReplicaGPUs += claim.Job.Spec.GPUs
+			instance.ReplicaMemoryGB += claim.Job.Spec.MemoryGB
 		}
 	}
 	if instance.Up && !worker.HasUnfinishedTask() && len(claims) == 0 {
@@ -65,6 +68,8 @@
 	urgentCores   map[string]float64 // the part of spotCores that must run at once to meet deadlines
 	shapeIndex    map[string]int     // index in TaskShapes by the key of the shape
 	waitingShapes map[int]bool       // indexes in TaskShapes of the shapes in WaitingShapes
+	// waitingAnywhere has the keys, of shape and zones, of WaitingShapesAnywhere.
+	waitingAnywhere map[string]bool
 }
 
 // demand sums up the demand of all unfinished jobs, without the tasks on unreachable workers.
@@ -77,6 +82,7 @@
 		spotCores:   make(map[string]float64),
 		urgentCores: make(map[string]float64),
 		shapeIndex:  make(map[string]int), waitingShapes: make(map[int]bool),
+		waitingAnywhere: make(map[string]bool),
 	}
 	unreachable := a.unreachableTasks(instances)
 	a.recordScaledAheadTeams()
@@ -87,8 +93,11 @@
 		}
 		cores := job.Spec.CPUs * float64(job.UnfinishedTasks()-unreachable[job])
 		a.addJobDemand(sum, job, cores, zones, now)
-		waiting := job.Spec.AllowSpot && min(job.WaitingTasks(), a.jobs.QuotaHeadroom(job)) > 0
-		sum.addShape(&job.Spec, a.excludedInstances(job, now), cores, waiting)
+		waiting := min(job.WaitingTasks(), a.jobs.QuotaHeadroom(job)) > 0
+		shape := sum.addShape(&job.Spec, a.excludedInstances(job, now), cores, waiting && job.Spec.AllowSpot)
+		if waiting && !a.faults.jobFaulty(job) {
+			sum.addWaitingAnywhere(shape, a.openZones(job, zones))
+		}
 		sum.TeamLimits[job.Spec.Team] = a.jobs.Team(job.Spec.Team).CPUsMax
 	}
 	for team := range a.scaledAheadTeams {
@@ -163,8 +172,23 @@
 	return job.ExcludedWorkers(now)
 }
 
-// addShape adds a job's tasks to the task shapes, and to the waiting shapes if waiting is set.
-func (s *demandSum) addShape(spec *wire.Job, excluded []string, cores float64, waiting bool) {
+// openZones returns the zones in which a task of a job may start now.
+func (a *autoscaler) openZones(job *ledger.Job, zones []string) []string {
+	return slices.DeleteFunc(slices.Clone(zones), func(zone string) bool { return a.jobs.ZoneHeadroom(job, zone) <= 0 })
+}
+
+// addWaitingAnywhere adds a task shape to the waiting shapes of all kinds, once for the same zones.
+func (s *demandSum) addWaitingAnywhere(shapeIndex int, zones []string) {
+	key := fmt.Sprint(shapeIndex, zones)
+	if !s.waitingAnywhere[key] {
+		s.waitingAnywhere[key] = true
+		s.WaitingShapesAnywhere = append(s.WaitingShapesAnywhere, fleet.WaitingShape{TaskShape: s.TaskShapes[shapeIndex], Zones: zones})
+	}
+}
+
+// addShape adds a job's tasks to the task shapes, and to the waiting shapes if waiting is set. It returns the
+// index of their shape.
+func (s *demandSum) addShape(spec *wire.Job, excluded []string, cores float64, waiting bool) int {
 	key := needsOf(spec)
 	if len(excluded) > 0 {
 		key += fmt.Sprint("|", excluded)
@@ -184,6 +208,7 @@
 		s.waitingShapes[index] = true
 		s.WaitingShapes = append(s.WaitingShapes, s.TaskShapes[index])
 	}
+	return index
 }
 
 // addZoneDemand adds, for each zone, the cores of the job's waiting tasks that only this zone may
--- a/internal/sim/placementfaults_test.go
+++ b/internal/sim/placementfaults_test.go
@@ -260,3 +260,37 @@
 		})
 	}
 }
+
+// Guards against a job that needs a whole worker and waits behind a replica on the only one that fits: the replica's
+// own worker failed, and it moved there.
+func TestWholeWorkerJobStartsBesideReplica(t *testing.T) {
+	for _, allowSpot := range []bool{false, true} {
+		t.Run(fmt.Sprint("spot allowed: ", allowSpot), func(t *testing.T) {
+			runFaultPlan(t, faultPlan{seed: 17, recovery: 90 * time.Second, faults: func(m *scenario) {
+				m.cloud.mu.Lock()
+				small := wire.InstanceType{Name: "small", CPUs: 4, MemoryGB: 16, DiskGB: 20, ImagePullGBPerSecond: 1, PricePerHour: 1, SpotPricePerHour: 0.5, BootSeconds: 30, Zones: []string{"a"}}
+				big := small
+				big.Name, big.CPUs, big.MemoryGB, big.PricePerHour, big.SpotPricePerHour = "big", 32, 128, 9, 4
+				m.cloud.types = []wire.InstanceType{small, big}
+				m.cloud.mu.Unlock()
+				m.restartControllers(50*time.Millisecond, 0, 1, 2)
+				time.Sleep(10 * time.Second)
+				replica := array(0, 1, 0)
+				replica.Kind, replica.Priority, replica.CPUs, replica.MemoryGB = wire.KindService, "production", 2, 3.4
+				m.world.submit(m.ctx, replica, 0, 0)
+				time.Sleep(15 * time.Second)
+				replicaWorker := m.busyWorkers()
+				whole := func(i int) wire.Job {
+					job := array(i, 1, 5*time.Second)
+					job.CPUs, job.MemoryGB, job.AllowSpot = 4, 128, allowSpot
+					return job
+				}
+				m.world.submit(m.ctx, whole(2), 0, 0)
+				time.Sleep(20 * time.Second)
+				m.cloud.killInstance(replicaWorker[0])
+				time.Sleep(14 * time.Second)
+				m.world.submit(m.ctx, whole(4), 0, 0)
+			}})
+		})
+	}
+}
