An exited attempt is forgotten once the removal of its claim is stored

Cause: a claim that ended otherwise than done is freed in memory at once, claims are written before freed ones, and the worker was told to forget the attempt meanwhile. If the leader ended then, its successor found the old claim beside the one that had taken its place in the team's limit, and started both. Class: an answer before the write.

Change: the job table notes which freed claims the store may still have, and a worker is told to forget an attempt only once its claim is not among them, as it was for finished tasks. The successor then hears how the attempt ended.

TestFreedClaimMayBeStoredUntilWritten and a case of TestCommands fail without it.

--- a/internal/agent/commands.go
+++ b/internal/agent/commands.go
@@ -14,7 +14,8 @@
 // A worker would execute the start of an attempt that it has forgotten. It is therefore told to
 // forget only in the answer to a heartbeat, of which it has one in flight at most, so that no start
 // of an earlier answer arrives afterwards, and only under an epoch above that of the attempt's
-// direct starts, which the answer makes it reject. Once maxDirectStarts direct starts are recorded,
+// direct starts, which the answer makes it reject, and once the removal of the attempt's claim is stored.
+// Once maxDirectStarts direct starts are recorded,
 // further starts are given in answers only.
 func (w *Worker) Commands(
 	claims map[ledger.Task]*ledger.Claim, epoch uint64, inHeartbeatAnswer bool,
@@ -75,6 +76,7 @@
 		case claim != nil && claim.Attempt == reported.Attempt, reported.Orphaned:
 		case reported.Phase != wire.TaskExited:
 			stops = append(stops, command(wire.ActionStop, task, reported.Attempt))
+		case w.ClaimMayBeStored != nil && w.ClaimMayBeStored(task):
 		case !w.CommandInFlight && !w.MayStartAgain(Attempt{task, reported.Attempt}, epoch):
 			forgets = append(forgets, command(wire.ActionForget, task, reported.Attempt))
 		}
--- a/internal/agent/commands_test.go
+++ b/internal/agent/commands_test.go
@@ -81,6 +81,9 @@
 		{"no forget in a direct command", nil, ended, nil, false, ""},
 		{"no forget with a command in flight", nil, ended, func(worker *Worker) { worker.CommandInFlight = true }, true, ""},
 		{"no forget while a copy of the direct start may arrive", nil, ended, directStart(4, 7), true, ""},
+		{"no forget while the freed claim may be stored", nil, ended, func(worker *Worker) {
+			worker.ClaimMayBeStored = func(task ledger.Task) bool { return task == ledger.Task{JobID: "req-1"} }
+		}, true, ""},
 		{"forget once the answer's epoch is above the direct start's", nil, ended, directStart(4, 6), true, "reap req-1/0 4"},
 		{"forget beside the direct start of another attempt", nil, ended, directStart(5, 7), true, "reap req-1/0 4"},
 		{"no direct start beside many others", newClaim(live, 1, committed), nil, manyDirectStarts, false, ""},
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -50,6 +50,8 @@
 	// command may arrive at any time, answered or not, until the worker has seen a higher epoch.
 	DirectStarts    map[Attempt]uint64
 	CommandInFlight bool // a direct command has not been answered yet
+	// ClaimMayBeStored reports whether a claim of the task that was freed may still be stored; nil: no.
+	ClaimMayBeStored func(ledger.Task) bool
 
 	// SoleOwnerEpoch is the epoch since which this leader alone may answer the worker; 0 while
 	// another controller may.
--- a/internal/intake/status.go
+++ b/internal/intake/status.go
@@ -25,7 +25,9 @@
 }
 
 // isFinal reports whether the job has ended.
-func (job *jobState) isFinal() bool { return job.Phase == wire.PhaseDone || job.Phase == wire.PhaseCancelled }
+func (job *jobState) isFinal() bool {
+	return job.Phase == wire.PhaseDone || job.Phase == wire.PhaseCancelled
+}
 
 // poll answers with a job's status.
 func (api *API) poll(w http.ResponseWriter, r *http.Request) {
--- a/internal/leader/clusterstate.go
+++ b/internal/leader/clusterstate.go
@@ -33,6 +33,7 @@
 // addWorker adds a worker, which must not be present yet.
 func (c *clusterState) addWorker(worker *agent.Worker) {
 	c.workers[worker.Name] = worker
+	worker.ClaimMayBeStored = func(task ledger.Task) bool { return c.jobs.MayBeStored(task) }
 	i, _ := slices.BinarySearchFunc(c.workersByName, worker.Name, compareName)
 	c.workersByName = slices.Insert(c.workersByName, i, worker)
 }
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -191,6 +191,9 @@
 	}
 	chunk.dirty = false
 	chunk.inFlightBatch = b.batchNumber
+	if !write.defersDeletion {
+		chunk.freesInFlight, chunk.unstoredFrees = chunk.unstoredFrees, nil
+	}
 	b.batch.writes = append(b.batch.writes, write)
 	return true
 }
--- a/internal/ledger/batch_test.go
+++ b/internal/ledger/batch_test.go
@@ -41,6 +41,36 @@
 	}
 }
 
+// Guards against a worker that forgets how an attempt ended while the store still has its claim: a new leader
+// would start it again, beside the claims that took its place in the team's quota.
+func TestFreedClaimMayBeStoredUntilWritten(t *testing.T) {
+	table := New("w", testTeams())
+	job := table.AddJob("req-1", newJobRecord("b", wire.KindArray, 2, 1), 7)
+	claim, _ := table.Claim(job, "h", 1, "x")
+	table.BatchCommitted(table.NextBatch(batchLimits(16), now), 8)
+	check := func(step string, want bool) {
+		t.Helper()
+		if got := table.MayBeStored(claim.Task()); got != want {
+			t.Errorf("%s: may be stored %v, want %v", step, got, want)
+		}
+	}
+	check("claimed", false)
+	table.Free(claim, now)
+	check("freed", true)
+	batch := table.NextBatch(batchLimits(16), now)
+	check("written, not answered", true)
+	table.BatchFailed(batch)
+	check("not committed", true)
+	batch = table.NextBatch(batchLimits(16), now)
+	table.BatchCommitted(batch, 9)
+	check("committed", false)
+	for _, task := range []Task{{JobID: "req-1", Index: 1}, {JobID: "req-9"}} {
+		if table.MayBeStored(task) {
+			t.Errorf("%v: may be stored, although it was never freed", task)
+		}
+	}
+}
+
 // A claim must not become durable once its job is cancelled: the compare of the live key fails the
 // batch, and the claim, whose task was never started, is removed.
 func TestCancelBeforeCommit(t *testing.T) {
--- a/internal/ledger/chunk.go
+++ b/internal/ledger/chunk.go
@@ -14,6 +14,26 @@
 	dirty             bool   // differs from the stored chunk
 	uncommittedClaims int    // number of claims that are not durable
 	inFlightBatch     uint64 // number of the batch in flight that writes the chunk; 0: none
+
+	// Tasks of which a claim was removed that the store may still have: not in any batch yet, and in
+	// the batch in flight.
+	unstoredFrees, freesInFlight map[int]bool
+}
+
+// recordFree records that a task's claim was removed since the last write.
+func (c *taskChunk) recordFree(task int) {
+	if c.unstoredFrees == nil {
+		c.unstoredFrees = make(map[int]bool)
+	}
+	c.unstoredFrees[task] = true
+}
+
+// requeueFrees records that the batch in flight was not committed.
+func (c *taskChunk) requeueFrees() {
+	for task := range c.freesInFlight {
+		c.recordFree(task)
+	}
+	c.freesInFlight = nil
 }
 
 func (c *taskChunk) inFlight() bool { return c.inFlightBatch != 0 }
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -14,6 +14,7 @@
 	for _, write := range batch.writes {
 		job, chunk := write.job, write.chunk()
 		chunk.inFlightBatch = 0
+		chunk.freesInFlight = nil
 		switch {
 		case write.deletesChunk:
 			chunk.modRevision = 0
@@ -95,6 +96,7 @@
 func (t *Table) BatchFailed(batch *Batch) {
 	for _, write := range batch.writes {
 		write.chunk().inFlightBatch = 0
+		write.chunk().requeueFrees()
 		t.writes.enqueue(write.chunkRef)
 	}
 	for _, write := range batch.writes {
--- a/internal/ledger/table.go
+++ b/internal/ledger/table.go
@@ -142,6 +142,17 @@
 	job.requeued = append(job.requeued, claim.Index)
 }
 
+// MayBeStored reports whether the store may still have a claim of the task that was freed. A new leader
+// would start its attempt unless the worker reports how it ended, so the worker must not forget that yet.
+func (t *Table) MayBeStored(task Task) bool {
+	job := t.jobs[task.JobID]
+	if job == nil || job.Cancelled || job.chunkTasks == 0 {
+		return false // a new leader starts no task of a job that has ended
+	}
+	chunk, offset := job.chunks[task.Index/job.chunkTasks], task.Index%job.chunkTasks
+	return chunk != nil && (chunk.unstoredFrees[offset] || chunk.freesInFlight[offset])
+}
+
 // Finish records that a claim's task is done. The claim remains until that is durable, so that the
 // worker is not told to forget the task earlier. The task no longer runs, so its share of the
 // worker's resources and of its team's quota is released at once.
@@ -210,6 +221,9 @@
 	}
 	chunk := job.chunkOf(claim.Index)
 	delete(chunk.claims, claim.Index%job.chunkTasks)
+	if !claim.Finished {
+		chunk.recordFree(claim.Index % job.chunkTasks)
+	}
 	if !claim.Committed {
 		chunk.uncommittedClaims--
 	}
