--- a/internal/leader/model_test.go
+++ b/internal/leader/model_test.go
@@ -317,6 +317,7 @@
 		{"change leader", 1, m.changeLeader},
 		{"wait", 2, m.wait},
 		{"cancel job", 1, m.cancelJob},
+		{"stop claim", 1, m.stopClaim},
 		{"write", 2, m.write},
 	} {
 		for range action.times {
--- a/internal/leader/modelworker_test.go
+++ b/internal/leader/modelworker_test.go
@@ -311,3 +311,14 @@
 	worker.tasks, worker.ended, worker.answeredAt = map[string]*wire.TaskStatus{}, map[string]bool{}, m.now
 	worker.incarnation++
 }
+
+// stopClaim stops a claimed task of any worker, as a preemption or a drain does.
+func (m *model) stopClaim() {
+	claims := m.leader.jobs.ClaimsOnWorker(m.drawWorker().name)
+	for _, name := range slices.SortedFunc(maps.Keys(claims), func(a, b ledger.Task) int { return cmp.Compare(a.String(), b.String()) }) {
+		if claim := claims[name]; stoppable(claim) {
+			claim.Stop(stopDrained)
+			return
+		}
+	}
+}
