Log how long ago a worker was heard when commands are given

Cause: the incident's log did not say why a start was allowed: by the answer to a heartbeat of 7 s before, of an earlier incarnation. Change: "commands given" has heard_s. Measured: the packages' tests pass; no behaviour changes.

--- a/internal/leader/commandlog.go
+++ b/internal/leader/commandlog.go
@@ -37,7 +37,8 @@
 		}
 	}
 	s.log.Info("commands given", "worker", worker.Name, "incarnation", worker.Incarnation, "epoch", batch.Epoch,
-		"path", path, "starts", starts, "stops", stops, "forgets", forgets)
+		"path", path, "heard_s", secondsSince(worker.LastHeartbeat, s.now()),
+		"starts", starts, "stops", stops, "forgets", forgets)
 }
 
 // stopReason returns why a task is stopped. claim is the claim of the task on the worker, nil if there
--- a/internal/leader/demand.go
+++ b/internal/leader/demand.go
@@ -182,7 +182,8 @@
 	key := fmt.Sprint(shapeIndex, zones)
 	if !s.waitingAnywhere[key] {
 		s.waitingAnywhere[key] = true
-		s.WaitingShapesAnywhere = append(s.WaitingShapesAnywhere, fleet.WaitingShape{TaskShape: s.TaskShapes[shapeIndex], Zones: zones})
+		shape := fleet.WaitingShape{TaskShape: s.TaskShapes[shapeIndex], Zones: zones}
+		s.WaitingShapesAnywhere = append(s.WaitingShapesAnywhere, shape)
 	}
 }
 
--- a/internal/serve/connections.go
+++ b/internal/serve/connections.go
@@ -64,7 +64,8 @@
 // peerConnections returns the maximum number of connections that peers may have open.
 func (controller *controller) peerConnections() int {
 	settings := controller.settings
-	return max(minConnectionsPerPeer*len(settings.Peers), int(peerConnectionShare*float64(settings.Facts.Resources.Sockets)))
+	share := int(peerConnectionShare * float64(settings.Facts.Resources.Sockets))
+	return max(minConnectionsPerPeer*len(settings.Peers), share)
 }
 
 // closeIfCrowded makes the response close its connection if too many connections are open.
