Connections: an idle one makes room for one that already waits

Found on reading the change again: at the limit, with all connections being served, a new one waited until one closed, although one that becomes idle can make room. Change: becoming idle wakes Accept too. A row of TestLongestWaitMakesRoom plays it, race detector on.

--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -50,7 +50,7 @@
 	receiving *list.List    // of *conn, longest wait first
 	idle      *list.List    // of *conn, longest wait first
 	open      int
-	freed     chan struct{} // holds a notification once a connection was closed
+	mayFit    chan struct{} // holds a notification once a connection was closed or waits again
 	stats     Stats
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -77,7 +77,7 @@
 func New(inner net.Listener, options Options) *Listener {
 	return &Listener{
 		Listener: inner, options: options, receiving: list.New(), idle: list.New(),
-		freed: make(chan struct{}, 1), closed: make(chan struct{}),
+		mayFit: make(chan struct{}, 1), closed: make(chan struct{}),
 	}
 }
 
@@ -90,7 +90,7 @@
 	}
 	for !l.makeRoom() {
 		select {
-		case <-l.freed:
+		case <-l.mayFit:
 		case <-l.closed:
 			accepted.Close()
 			return nil, net.ErrClosed
@@ -250,6 +250,7 @@
 		c.waiting = l.receiving.PushBack(c)
 	case phaseIdle:
 		c.waiting = l.idle.PushBack(c)
+		l.notify()
 	}
 }
 
@@ -276,8 +277,13 @@
 	l.leave(c)
 	c.closed = true
 	l.open--
+	l.notify()
+}
+
+// notify wakes Accept. The caller holds mu.
+func (l *Listener) notify() {
 	select {
-	case l.freed <- struct{}{}:
+	case l.mayFit <- struct{}{}:
 	default:
 	}
 }
--- a/internal/connlimit/listener_test.go
+++ b/internal/connlimit/listener_test.go
@@ -53,37 +53,40 @@
 		go client.Write([]byte("G"))
 		c.Read(make([]byte, 1))
 	}
+	closes := func(c *conn) { c.Close() }
 	for _, tc := range []struct {
 		name  string
 		phase func(i int) func(*conn)
-		want  int // the connection that is closed; -1: none, the next one waits
+		want  int         // the connection that is closed
+		later func(*conn) // what becomes of it while the next one waits; nil: nothing
 	}{
-		{"all receive", func(int) func(*conn) { return receiving }, 0},
+		{"all receive", func(int) func(*conn) { return receiving }, 0, nil},
 		{"idle ones are older, many receive", func(i int) func(*conn) {
 			if i < 15 {
 				return idle
 			}
 			return receiving
-		}, 15},
+		}, 15, nil},
 		{"idle ones are younger, few receive", func(i int) func(*conn) {
 			if i < 2 {
 				return receiving
 			}
 			return idle
-		}, 2},
+		}, 2, nil},
 		{"served ones stay", func(i int) func(*conn) {
 			if i < 15 {
 				return serving
 			}
 			return receiving
-		}, 15},
+		}, 15, nil},
 		{"the next request is being received", func(i int) func(*conn) {
 			if i < 15 {
 				return idle
 			}
 			return again
-		}, 15},
-		{"all are served", func(int) func(*conn) { return serving }, -1},
+		}, 15, nil},
+		{"all are served until one closes", func(int) func(*conn) { return serving }, 3, closes},
+		{"all are served until one is idle", func(int) func(*conn) { return serving }, 3, idle},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			l, open := newTestListener(t)
@@ -92,12 +95,12 @@
 				connections = append(connections, open())
 				tc.phase(i)(connections[i])
 			}
-			if tc.want < 0 {
-				time.AfterFunc(20*time.Millisecond, func() { connections[3].Close() })
+			if tc.later != nil {
+				time.AfterFunc(20*time.Millisecond, func() { tc.later(connections[tc.want]) })
 			}
 			open()
 			for i, c := range connections {
-				if wantClosed := i == tc.want || tc.want < 0 && i == 3; c.closed != wantClosed {
+				if wantClosed := i == tc.want; c.closed != wantClosed {
 					t.Errorf("connection %d: got closed %v, want %v", i, c.closed, wantClosed)
 				}
 			}
