A reservation leaves out workers on which replicas leave no room

Cause: the worker reserved for a job past the aging threshold was chosen as if it were empty, though service replicas stay; such a reservation held free capacity and never ended. Change: the reservation asks what the planner asks, whether the job fits beside the replicas, in every resource. TestReservationLeavesOutReplicas failed before (h0, which has a replica, was reserved; want h2).

--- a/internal/leader/candidate.go
+++ b/internal/leader/candidate.go
@@ -61,6 +61,8 @@
 	free         resources
 	reservedFor  *ledger.Job // the free capacity is reserved for this job until it fits
 	madeAt       time.Time
+	// besideReplicas is the capacity without what service replicas take; nil until it is first asked for.
+	besideReplicas *resources
 }
 
 // newCandidate returns a candidate for a worker whose claims use the given resources.
@@ -79,6 +81,27 @@
 	return resources{c.instanceType.CPUs, c.instanceType.GPUs, c.instanceType.MemoryGB}
 }
 
+// capacityBesideReplicas returns the resources of the worker that no service replica takes: they are free once
+// the other tasks there have ended.
+func (c *candidate) capacityBesideReplicas(table *ledger.Table) resources {
+	if c.besideReplicas == nil {
+		left := c.capacity()
+		for _, claim := range table.ClaimsOnWorker(c.worker.Name) {
+			if claim.Job.Spec.Kind == wire.KindService {
+				left = left.minus(&claim.Job.Spec)
+			}
+		}
+		c.besideReplicas = &left
+	}
+	return *c.besideReplicas
+}
+
+// fitsBesideReplicas reports whether a task of a job would fit the worker if only its service replicas ran
+// there.
+func (c *candidate) fitsBesideReplicas(table *ledger.Table, job *ledger.Job) bool {
+	return c.capacity().fit(&job.Spec) && c.allows(job) && c.capacityBesideReplicas(table).fit(&job.Spec)
+}
+
 // allocate subtracts the resources of one task of a job from the free capacity.
 func (c *candidate) allocate(job *ledger.Job) { c.free = c.free.minus(&job.Spec) }
 
--- a/internal/leader/reservation.go
+++ b/internal/leader/reservation.go
@@ -41,7 +41,7 @@
 }
 
 // lacksCapacity reports whether the job's next task fits no candidate, though it is within its
-// quota and would fit one of them if that were empty.
+// quota and would fit one of them if only its service replicas, which stay, ran there.
 func lacksCapacity(table *ledger.Table, job *ledger.Job, candidates []*candidate) bool {
 	fitsSomewhere := false
 	for _, target := range candidates {
@@ -51,13 +51,13 @@
 		if target.fits(job) {
 			return false
 		}
-		fitsSomewhere = fitsSomewhere || target.fitsWhenEmpty(job)
+		fitsSomewhere = fitsSomewhere || target.fitsBesideReplicas(table, job)
 	}
 	return fitsSomewhere
 }
 
-// workersToReserve returns candidates that, when empty, can run all waiting tasks of a gang, or one
-// task of another job. It prefers those with the most free CPUs, which are empty soonest. It
+// workersToReserve returns candidates that, beside their service replicas, can run all waiting tasks of a
+// gang, or one task of another job. It prefers those with the most free CPUs, which are empty soonest. It
 // returns nil if there are not enough.
 func workersToReserve(table *ledger.Table, job *ledger.Job, candidates []*candidate) []*candidate {
 	needed := 1
@@ -65,7 +65,7 @@
 		needed = job.WaitingTasks()
 	}
 	ordered := slices.DeleteFunc(slices.Clone(candidates), func(target *candidate) bool {
-		return !target.fitsWhenEmpty(job) || !job.IsGang() && table.CheckClaim(job, target.worker.Zone) != nil
+		return !target.fitsBesideReplicas(table, job) || !job.IsGang() && table.CheckClaim(job, target.worker.Zone) != nil
 	})
 	slices.SortStableFunc(ordered, func(a, b *candidate) int { return -cmp.Compare(a.free.cpus, b.free.cpus) })
 	for _, zone := range zonesToTry(job, ordered) {
@@ -74,7 +74,7 @@
 		for _, target := range ordered {
 			if slots < needed && (zone == "" || target.worker.Zone == zone) {
 				targets = append(targets, target)
-				slots += target.capacity().slots(&job.Spec)
+				slots += target.capacityBesideReplicas(table).slots(&job.Spec)
 			}
 		}
 		if slots >= needed {
--- a/internal/leader/reservation_test.go
+++ b/internal/leader/reservation_test.go
@@ -42,3 +42,29 @@
 		t.Errorf("%d workers reserved for one task, want 1", reserved)
 	}
 }
+
+// Guards against a reservation of a worker that never has room, because a replica stays there.
+func TestReservationLeavesOutReplicas(t *testing.T) {
+	leader := newTestTerm(t)
+	small := leader.addTestJob("req-1", wire.Job{Kind: wire.KindArray, Priority: "standard", TaskCount: 99, CPUs: 2})
+	service := leader.addTestJob("req-2", wire.Job{Kind: wire.KindService, Priority: "production", TaskCount: 3, CPUs: 1})
+	for i := range 4 {
+		for range 3 {
+			leader.runTestTask(t, small, fmt.Sprint("h", i), time.Second)
+		}
+		if i != 2 {
+			leader.runTestTask(t, service, fmt.Sprint("h", i), time.Second)
+		}
+	}
+	leader.runTestTask(t, small, "h2", time.Second) // no free CPUs, but none that stay taken
+	large := leader.addTestJob("req-3", wire.Job{Kind: wire.KindArray, Priority: "standard", TaskCount: 1, CPUs: 8})
+	queues, candidates := leader.scheduler.waitingQueues(now), leader.scheduler.candidates(now)
+	late := now.Add(5 * leader.settings.WorkerLease())
+	small.WaitingSince = late
+	leader.scheduler.reserveCapacity(queues, candidates, late)
+	for _, target := range candidates {
+		if isReserved := target.reservedFor == large; isReserved != (target.worker.Name == "h2") {
+			t.Errorf("%s: reserved %v, want h2 alone, which has no replica", target.worker.Name, isReserved)
+		}
+	}
+}
