--- a/internal/sim/reboot_test.go
+++ b/internal/sim/reboot_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
 	"time"
 )
@@ -83,43 +82,44 @@
 	}
 	reboot := func(m *scenario, workers []string) { m.world.rebootWorkers(workers) }
 	type rebootTest struct {
-		name   string
-		faults func(m *scenario, workers []string)
+		name        string
+		faults      func(m *scenario, workers []string)
+		controllers int // 0: three
 	}
 	for _, tc := range []rebootTest{
-		{"alone", reboot},
-		{"twice", func(m *scenario, workers []string) { reboot(m, workers); reboot(m, workers) }},
-		{"heartbeats lost", heartbeatsLost(reboot)},
-		{"heartbeats lost, one controller", heartbeatsLost(reboot)},
-		{"heartbeats lost, twice", heartbeatsLost(func(m *scenario, workers []string) {
+		{name: "alone", faults: reboot},
+		{name: "twice", faults: func(m *scenario, workers []string) { reboot(m, workers); reboot(m, workers) }},
+		{name: "heartbeats lost", faults: heartbeatsLost(reboot)},
+		{name: "heartbeats lost, one controller, which alone may answer all workers", faults: heartbeatsLost(reboot), controllers: 1},
+		{name: "heartbeats lost, twice", faults: heartbeatsLost(func(m *scenario, workers []string) {
 			reboot(m, workers)
 			time.Sleep(4 * time.Second)
 			reboot(m, workers)
 		})},
-		{"heartbeats lost, leader crashes", heartbeatsLost(func(m *scenario, workers []string) {
+		{name: "heartbeats lost, leader crashes", faults: heartbeatsLost(func(m *scenario, workers []string) {
 			reboot(m, workers)
 			m.crashController(m.leaderIndex(), 5*time.Second)
 		})},
-		{"heartbeats lost, store refuses the leader", heartbeatsLost(func(m *scenario, workers []string) {
+		{name: "heartbeats lost, store refuses the leader", faults: heartbeatsLost(func(m *scenario, workers []string) {
 			reboot(m, workers)
 			leader := controllerName(m.leaderIndex())
 			m.store.refuseController(leader, true)
 			time.Sleep(20 * time.Second)
 			m.store.refuseController(leader, false)
 		})},
-		{"responses lost", func(m *scenario, workers []string) {
+		{name: "responses lost", faults: func(m *scenario, workers []string) {
 			concurrently(
 				func() { m.injectWorkerFault(workers, leaseDuration/2, dropResponses) },
 				func() { time.Sleep(2 * time.Second); reboot(m, workers) },
 			)
 		}},
-		{"heartbeats of the earlier incarnation arrive late", func(m *scenario, workers []string) {
+		{name: "heartbeats of the earlier incarnation arrive late", faults: func(m *scenario, workers []string) {
 			m.injectWorkerFault(workers, heartbeatInterval, holdNextHeartbeat)
 			reboot(m, workers)
 			time.Sleep(2 * time.Second)
 			m.deliverHeldHeartbeats(workers)
 		}},
-		{"workers hang first", func(m *scenario, workers []string) {
+		{name: "workers hang first", faults: func(m *scenario, workers []string) {
 			m.injectWorkerFault(workers, leaseDuration/2, pauseWorker)
 			reboot(m, workers)
 		}},
@@ -127,12 +127,8 @@
 		for seed := range seedCount(2) {
 			t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
 				t.Parallel()
-				clusterSize := controllerCount
-				if strings.HasSuffix(tc.name, "one controller") {
-					clusterSize = 1 // which alone may answer all workers
-				}
 				jobs := arrays(16, 3, 100*time.Second, nil)
-				faultPlan{seed: 500 + 10*seed, clusterSize: clusterSize, teamCPULimit: 40, jobs: jobs, recovery: 420 * time.Second, faults: func(m *scenario) {
+				faultPlan{seed: 500 + 10*seed, clusterSize: tc.controllers, teamCPULimit: 40, jobs: jobs, recovery: 420 * time.Second, faults: func(m *scenario) {
 					m.world.repeatCommands(0.5)
 					m.world.duplicateHeartbeats(0.5)
 					for range 2 {
